--- /dev/null
+++ b/src/jobs/writer.rs
@@ -0,0 +1,269 @@
+//! Records progress: one put per changed page, many to a transaction, starts guarded by the keys
+//! of their job, page and machines. Nothing is started before its record stands.
+
+use super::{Entry, Final, Page};
+use crate::node::{Core, Node};
+use crate::state::budget::Need;
+use crate::state::{Guard, Op, TxnError, final_key, job_key, machine_key, page_key};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+const MOST_BYTES: usize = 48 << 10;
+
+/// One page as it is to be recorded.
+struct Dirty {
+    job: String,
+    number: usize,
+    page: Page,
+    guards: Vec<Guard>,
+    bytes: usize,
+}
+
+pub async fn write(node: &Arc<Node>, leader_mark: u64) {
+    let fine = end_jobs(node).await && write_pages(node, leader_mark).await;
+    if !fine {
+        // Something failed or went unanswered: what stands is read, never assumed.
+        node.sync().await;
+    }
+    settle(&mut node.core());
+    drop_orphans(node).await;
+}
+
+/// Moves jobs that are over to their final key, with their pages.
+async fn end_jobs(node: &Arc<Node>) -> bool {
+    let over: Vec<(String, u64, Vec<usize>, Final)> = {
+        let core = node.core();
+        core.replica
+            .jobs
+            .iter()
+            .filter_map(|(id, job)| {
+                let last = over(&core, id, job)?;
+                Some((id.clone(), job.mark, job.pages.keys().copied().collect(), last))
+            })
+            .collect()
+    };
+    for (id, mark, pages, last) in over {
+        let most = node.settings.params.state.txn_ops - 2;
+        if node.state.writes_left(Need::Own) < 2 {
+            return true;
+        }
+        let guards = [Guard {
+            k: job_key(&id),
+            mark,
+        }];
+        let mut ops = vec![Op::set(final_key(&id), &last), Op::drop(job_key(&id))];
+        let dropped: Vec<usize> = pages.into_iter().take(most).collect();
+        ops.extend(dropped.iter().map(|n| Op::drop(page_key(&id, *n))));
+        match node.state.transact(&guards, &ops).await {
+            Ok(ledger) => {
+                let mut core = node.core();
+                core.replica.remove(&job_key(&id), ledger);
+                core.replica.remember_ended(&id, last);
+                for number in dropped {
+                    core.replica.remove(&page_key(&id, number), ledger);
+                }
+                core.overlay.retain(|(job, _), _| *job != id);
+                core.failures.remove(&id);
+            }
+            Err(_) => return false,
+        }
+    }
+    true
+}
+
+/// Done once every task is; a cancelled one is over once none of its tasks can be on a machine.
+fn over(core: &Core, id: &str, job: &crate::state::replica::Job) -> Option<Final> {
+    let tasks = job.record.spec.tasks;
+    if job.record.cancelled {
+        let any = (0..tasks).any(|t| matches!(core.entry(id, t), Entry::Placed { .. }));
+        return (!any).then_some(Final::Cancelled);
+    }
+    let changed = core.overlay.range((id.to_owned(), 0)..=(id.to_owned(), usize::MAX));
+    let pending: usize = changed.map(|(_, c)| c.len()).sum();
+    if (job.done as usize + pending) < tasks as usize {
+        return None;
+    }
+    let all = (0..tasks).all(|t| core.entry(id, t) == Entry::Done);
+    all.then_some(Final::Done)
+}
+
+async fn write_pages(node: &Arc<Node>, leader_mark: u64) -> bool {
+    let _ = leader_mark;
+    let mut dirty = dirty_pages(&node.core());
+    let ops = node.settings.params.state.txn_ops;
+    let mut fine = true;
+    while !dirty.is_empty() {
+        let room = node.state.writes_left(Need::Own).min(ops);
+        if room == 0 {
+            return fine;
+        }
+        let (mut guards, mut count, mut bytes) = (BTreeMap::new(), 0, 0);
+        for page in &dirty {
+            let added = page.guards.iter();
+            let added = added.filter(|g| !guards.contains_key(&g.k)).count();
+            let full = count >= room
+                || guards.len() + added > ops * 4
+                || bytes + page.bytes > MOST_BYTES;
+            if full && count > 0 {
+                break;
+            }
+            guards.extend(page.guards.iter().map(|g| (g.k.clone(), g.mark)));
+            bytes += page.bytes;
+            count += 1;
+        }
+        let batch: Vec<Dirty> = dirty.drain(..count).collect();
+        let guards: Vec<Guard> = guards
+            .into_iter()
+            .map(|(k, mark)| Guard { k, mark })
+            .collect();
+        let puts: Vec<Op> = batch
+            .iter()
+            .map(|d| Op::set(page_key(&d.job, d.number), &d.page))
+            .collect();
+        let outcome = node.state.transact(&guards, &puts).await;
+        let mut core = node.core();
+        match outcome {
+            Ok(ledger) => {
+                for d in batch {
+                    core.replica.put_page(&d.job, d.number, d.page, ledger);
+                }
+            }
+            Err(TxnError::Conflict(failed)) => {
+                tracing::debug!(?failed, "a record lost a race");
+                withdraw(&mut core, &batch, Some(&failed));
+                fine = false;
+            }
+            Err(error) => {
+                tracing::debug!(%error, "a record was not written");
+                // Not executed, or unknown: starts are planned anew from what then stands. One
+                // that is still under way carries the page's old mark, and loses to the next.
+                withdraw(&mut core, &batch, None);
+                return false;
+            }
+        }
+    }
+    fine
+}
+
+fn dirty_pages(core: &Core) -> Vec<Dirty> {
+    let mut dirty = Vec::new();
+    for ((id, number), changes) in &core.overlay {
+        let Some(job) = core.replica.jobs.get(id) else {
+            continue;
+        };
+        let old = job.pages.get(number);
+        let mut page = old.map(|p| p.record.clone()).unwrap_or_default();
+        let mut machines = BTreeSet::new();
+        let mut changed = false;
+        for (task, entry) in changes {
+            let slot = *task as usize % core.replica.page_len;
+            let before = page.get(slot);
+            if before == *entry {
+                continue;
+            }
+            if let Entry::Placed { machine, .. } = entry {
+                machines.insert(machine.clone());
+            }
+            page.set(slot, entry.clone());
+            changed = true;
+        }
+        if !changed {
+            continue;
+        }
+        let mut guards = vec![
+            Guard {
+                k: job_key(id),
+                mark: job.mark,
+            },
+            Guard {
+                k: page_key(id, *number),
+                mark: job.page_mark(*number),
+            },
+        ];
+        for machine in machines {
+            let mark = core.replica.machines.get(&machine).map_or(0, |m| m.mark);
+            guards.push(Guard {
+                k: machine_key(&machine),
+                mark,
+            });
+        }
+        let bytes = serde_json::to_vec(&page).map_or(0, |b| b.len()) + 200 + guards.len() * 60;
+        dirty.push(Dirty {
+            job: id.clone(),
+            number: *number,
+            page,
+            guards,
+            bytes,
+        });
+    }
+    // Starts first: a task waits for each of them, and nobody waits for an exit's record.
+    dirty.sort_by_key(|d| d.guards.len() == 2);
+    dirty
+}
+
+/// Takes back planned starts, of all the pages or of those that the failed guards concern.
+fn withdraw(core: &mut Core, batch: &[Dirty], failed: Option<&[String]>) {
+    for d in batch {
+        let concerned = failed.is_none_or(|failed| {
+            failed.is_empty() || d.guards.iter().any(|g| failed.contains(&g.k))
+        });
+        if concerned && let Some(changes) = core.overlay.get_mut(&(d.job.clone(), d.number)) {
+            changes.retain(|_, entry| !matches!(entry, Entry::Placed { .. }));
+        }
+    }
+}
+
+/// Forgets planned changes that the records now hold, or that no longer apply to them.
+fn settle(core: &mut Core) {
+    let overlay = std::mem::take(&mut core.overlay);
+    for ((id, number), changes) in overlay {
+        let Some(job) = core.replica.jobs.get(&id) else {
+            continue;
+        };
+        for (task, entry) in changes {
+            let held = job.entry(core.replica.page_len, task);
+            let applies = match (&held, &entry) {
+                (held, entry) if held == entry => false,
+                (Entry::Done, _) => false,
+                (_, Entry::Done) => true,
+                (Entry::Placed { attempt, .. }, Entry::Waiting { last }) => attempt == last,
+                (Entry::Waiting { .. }, Entry::Waiting { .. }) => false,
+                (held, Entry::Placed { attempt, .. }) => held.last_attempt() < *attempt,
+            };
+            if applies {
+                let key = (id.clone(), number);
+                core.overlay.entry(key).or_default().insert(task, entry);
+            }
+        }
+    }
+}
+
+/// Drops pages left behind by ended jobs, when the budget has room.
+async fn drop_orphans(node: &Arc<Node>) {
+    let most = node.settings.params.state.txn_ops;
+    let spare = node.state.writes_left(Need::Own) / 2;
+    let keys: Vec<(String, usize)> = {
+        let core = node.core();
+        let known_over = |id: &str| core.replica.ended(id).is_some();
+        core.replica
+            .orphans
+            .keys()
+            .filter(|(id, _)| known_over(id))
+            .take(spare.min(most))
+            .cloned()
+            .collect()
+    };
+    if keys.is_empty() {
+        return;
+    }
+    let ops: Vec<Op> = keys
+        .iter()
+        .map(|(id, number)| Op::drop(page_key(id, *number)))
+        .collect();
+    if let Ok(ledger) = node.state.transact(&[], &ops).await {
+        let mut core = node.core();
+        for (id, number) in keys {
+            core.replica.remove(&page_key(&id, number), ledger);
+        }
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,210 @@
+//! One controller node: what its slices share, behind one short lock, and how they are started.
+
+use crate::cloud::{CloudClient, Kind};
+use crate::jobs::{Entry, JobSpec};
+use crate::policy::Policy;
+use crate::renting::service::RentState;
+use crate::settings::Settings;
+use crate::state::{Replica, StateClient};
+use crate::workers::{Live, Stops, TaskId};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, oneshot};
+
+/// Run times of a class: actual over the owner's estimate, as mean and deviation.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Learned {
+    pub count: f64,
+    mean: f64,
+    m2: f64,
+}
+
+impl Learned {
+    pub fn add(&mut self, ratio: f64) {
+        self.count += 1.0;
+        let delta = ratio - self.mean;
+        self.mean += delta / self.count;
+        self.m2 += delta * (ratio - self.mean);
+    }
+
+    /// The paper's estimate, past mean plus one deviation, as a factor on the owner's estimate.
+    pub fn factor(&self) -> f64 {
+        if self.count < 4.0 {
+            return 1.0;
+        }
+        self.mean + (self.m2 / (self.count - 1.0)).sqrt()
+    }
+
+    pub fn mean(&self) -> f64 {
+        if self.count < 4.0 { 1.0 } else { self.mean }
+    }
+}
+
+/// How a job's tasks have failed.
+#[derive(Debug, Clone, Default)]
+pub struct Failures {
+    pub machines: HashSet<String>,
+    pub count: u32,
+    pub last: Option<Instant>,
+}
+
+impl Failures {
+    /// Failing wherever it is tried: no machine cures that.
+    pub fn is_everywhere(&self) -> bool {
+        self.machines.len() >= 2
+    }
+
+    /// Not to be tried again before this.
+    pub fn not_before(&self) -> Option<Instant> {
+        let wait = Duration::from_secs(1 << self.count.min(5));
+        self.last.filter(|_| self.is_everywhere()).map(|l| l + wait)
+    }
+}
+
+/// Changes to progress pages that are not recorded yet.
+pub type Overlay = BTreeMap<(String, usize), BTreeMap<u32, Entry>>;
+
+pub struct Core {
+    pub replica: Replica,
+    /// When the request was sent whose answer last proved contact with the state service and
+    /// brought all changes up to then.
+    pub proof: Option<Instant>,
+    pub loaded: bool,
+    pub lease: Option<u64>,
+    /// Mark of the leader key under which this node leads and has taken over every machine.
+    pub leading: Option<u64>,
+    pub led_since: Instant,
+    pub overlay: Overlay,
+    pub live: HashMap<String, Live>,
+    pub stops: Stops,
+    pub learned: HashMap<String, Learned>,
+    pub failures: HashMap<String, Failures>,
+    pub kinds: Vec<Kind>,
+    pub rent: RentState,
+    /// This node cannot hear most workers and leaves the lead to others until then.
+    pub stand_back_until: Option<Instant>,
+}
+
+pub struct Node {
+    pub settings: Settings,
+    pub policy: Policy,
+    pub incarnation: u64,
+    pub started: Instant,
+    pub state: StateClient,
+    pub cloud: CloudClient,
+    core: Mutex<Core>,
+    sync_waiters: Mutex<Vec<oneshot::Sender<bool>>>,
+    pub sync_wanted: Notify,
+    /// Something changed that the placing loop should look at.
+    pub stirred: Notify,
+    pub peers_have_state: Mutex<Option<Instant>>,
+}
+
+impl Node {
+    pub fn new(settings: Settings, policy: Policy) -> Self {
+        let now = Instant::now();
+        let write_share = settings.params.state.write_rps / f64::from(settings.params.size);
+        Self {
+            incarnation: rand::random::<u64>() >> 12,
+            started: now,
+            state: StateClient::new(settings.endpoints.state, write_share),
+            cloud: CloudClient::new(settings.endpoints.cloud),
+            core: Mutex::new(Core {
+                replica: Replica::new(settings.page_len()),
+                proof: None,
+                loaded: false,
+                lease: None,
+                leading: None,
+                led_since: now,
+                overlay: Overlay::new(),
+                live: HashMap::new(),
+                stops: Stops::new(),
+                learned: HashMap::new(),
+                failures: HashMap::new(),
+                kinds: Vec::new(),
+                rent: RentState::new(now),
+                stand_back_until: None,
+            }),
+            sync_waiters: Mutex::default(),
+            sync_wanted: Notify::new(),
+            stirred: Notify::new(),
+            peers_have_state: Mutex::new(None),
+            settings,
+            policy,
+        }
+    }
+
+    pub fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap()
+    }
+
+    /// Waits for a read of the state service that was sent after this call: whatever any node
+    /// told any user before is then in the replica. One read serves all who wait.
+    pub async fn sync(&self) -> bool {
+        let (send, receive) = oneshot::channel();
+        self.sync_waiters.lock().unwrap().push(send);
+        self.sync_wanted.notify_one();
+        receive.await.unwrap_or(false)
+    }
+
+    pub fn take_sync_waiters(&self) -> Vec<oneshot::Sender<bool>> {
+        std::mem::take(&mut *self.sync_waiters.lock().unwrap())
+    }
+
+    /// Whether the state service answered lately.
+    pub fn has_state(&self, within: Duration) -> bool {
+        self.core().proof.is_some_and(|p| p.elapsed() <= within)
+    }
+}
+
+impl Core {
+    /// Where a task stands, with what is about to be recorded.
+    pub fn entry(&self, job: &str, task: u32) -> Entry {
+        let page = self.replica.page_of(task);
+        if let Some(changes) = self.overlay.get(&(job.to_owned(), page))
+            && let Some(entry) = changes.get(&task)
+        {
+            return entry.clone();
+        }
+        match self.replica.jobs.get(job) {
+            Some(job) => job.entry(self.replica.page_len, task),
+            None => Entry::default(),
+        }
+    }
+
+    pub fn plan(&mut self, id: &TaskId, entry: Entry) {
+        let page = self.replica.page_of(id.1);
+        let changes = self.overlay.entry((id.0.clone(), page)).or_default();
+        changes.insert(id.1, entry);
+    }
+
+    pub fn kind(&self, name: &str) -> Option<&Kind> {
+        self.kinds.iter().find(|k| k.name == name)
+    }
+
+    /// The expected run time of a job's tasks.
+    pub fn duration(&self, spec: &JobSpec) -> f64 {
+        let factor = self.learned.get(&spec.class).map_or(1.0, Learned::factor);
+        (spec.estimate_s * factor).max(0.5)
+    }
+
+    /// Starts over as leader or follower: plans and observations of another term are void.
+    pub fn clear_term(&mut self, now: Instant) {
+        self.overlay.clear();
+        self.stops.clear();
+        self.live.clear();
+        self.rent = RentState::new(now);
+    }
+}
+
+pub fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Seconds from the epoch-based time `ms` until now; negative if it is to come.
+pub fn age_s(ms: u64, now_ms: u64) -> f64 {
+    (now_ms as f64 - ms as f64) / 1000.0
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,414 @@
+//! Which waiting task goes to which machine: earliest finish wins (the paper's equation 1), batch
+//! tasks by earliest deadline, the first tasks of each job ahead of them unless the batch head
+//! would then be late. The same mapping serves to place now and to predict misses.
+
+pub mod service;
+pub mod views;
+
+use std::collections::{BTreeMap, HashSet};
+
+/// What a task takes of its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Need {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+const SLACK: f64 = 1e-6;
+
+impl Need {
+    pub fn fits(&self, room: &Need) -> bool {
+        self.cpus <= room.cpus + SLACK
+            && self.gpus <= room.gpus + SLACK
+            && self.memory_gb <= room.memory_gb + SLACK
+    }
+
+    pub fn add(&mut self, other: &Need) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+
+    pub fn sub(&mut self, other: &Need) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+
+    pub fn times(&self, n: f64) -> Need {
+        Need {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+            memory_gb: self.memory_gb * n,
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.cpus <= SLACK && self.gpus <= SLACK && self.memory_gb <= SLACK
+    }
+
+    fn take_from(&mut self, room: &mut Need) {
+        let part = Need {
+            cpus: self.cpus.min(room.cpus).max(0.0),
+            gpus: self.gpus.min(room.gpus).max(0.0),
+            memory_gb: self.memory_gb.min(room.memory_gb).max(0.0),
+        };
+        self.sub(&part);
+        room.sub(&part);
+    }
+}
+
+/// Room that comes free at a time, in seconds from now.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Chunk {
+    pub at: f64,
+    pub room: Need,
+}
+
+#[derive(Debug, Clone)]
+pub struct MachineView {
+    pub name: String,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    /// Free room and the room of running tasks, by when it comes free. A booting machine's room
+    /// is free from its expected boot.
+    pub chunks: Vec<Chunk>,
+    /// Images that it has or is fetching.
+    pub images: HashSet<String>,
+    pub fetch_gb_per_s: f64,
+    /// Measured run times over the expected ones: above 1 is slow.
+    pub slowness: f64,
+}
+
+impl MachineView {
+    /// The earliest time at which so much is free.
+    fn start_for(&self, need: &Need) -> Option<f64> {
+        let mut room = Need::default();
+        for chunk in &self.chunks {
+            room.add(&chunk.room);
+            if need.fits(&room) {
+                return Some(chunk.at);
+            }
+        }
+        None
+    }
+
+    /// Takes room for a task that starts and ends then: latest chunks first, so that what is
+    /// free now stays free for others.
+    fn occupy(&mut self, need: &Need, start: f64, end: f64) {
+        let mut wanted = *need;
+        for chunk in self.chunks.iter_mut().rev() {
+            if chunk.at <= start + SLACK {
+                wanted.take_from(&mut chunk.room);
+            }
+        }
+        self.chunks.retain(|c| !c.room.is_empty());
+        let place = self.chunks.partition_point(|c| c.at <= end);
+        self.chunks.insert(
+            place,
+            Chunk {
+                at: end,
+                room: *need,
+            },
+        );
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct JobView {
+    pub id: String,
+    pub gang: bool,
+    pub need: Need,
+    /// Kinds of machine that it may run on, best first.
+    pub kinds: Vec<String>,
+    pub zone: Option<String>,
+    pub spot: bool,
+    pub one_zone: bool,
+    /// Most tasks that may be in one zone at a time.
+    pub most_in_zone: u32,
+    /// Tasks now on machines, by zone.
+    pub zones: BTreeMap<String, u32>,
+    pub waiting: Vec<u32>,
+    /// Tasks that were started or are done: they count towards the startup tasks.
+    pub begun: u32,
+    pub arrived: f64,
+    /// Seconds from now until it should be complete.
+    pub due: f64,
+    pub duration: f64,
+    pub image: String,
+    pub image_gb: f64,
+    /// How many more tasks its team may have on machines.
+    pub quota: u32,
+    /// Machines on which it failed.
+    pub avoid: HashSet<String>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Start {
+    pub job: usize,
+    pub task: u32,
+    pub machine: usize,
+}
+
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct Mapping {
+    /// Tasks that can start now.
+    pub starts: Vec<Start>,
+    /// Per job: tasks mapped, and of these the ones expected to be late.
+    pub mapped: Vec<(u32, u32)>,
+    /// Length of the startup queue after what starts now.
+    pub startup: u32,
+}
+
+struct Best {
+    machine: usize,
+    start: f64,
+    end: f64,
+}
+
+fn best(job: &JobView, machines: &[MachineView]) -> Option<Best> {
+    let mut found: Option<Best> = None;
+    for (index, machine) in machines.iter().enumerate() {
+        if !allowed(job, machine) {
+            continue;
+        }
+        let Some(start) = machine.start_for(&job.need) else {
+            continue;
+        };
+        let end = start + run_time(job, machine);
+        if found.as_ref().is_none_or(|f| end < f.end - SLACK) {
+            found = Some(Best {
+                machine: index,
+                start,
+                end,
+            });
+        }
+    }
+    found
+}
+
+fn run_time(job: &JobView, machine: &MachineView) -> f64 {
+    let fetch = if machine.images.contains(&job.image) {
+        0.0
+    } else {
+        job.image_gb / machine.fetch_gb_per_s.max(0.001)
+    };
+    fetch + job.duration * machine.slowness
+}
+
+fn allowed(job: &JobView, machine: &MachineView) -> bool {
+    if machine.spot && !job.spot {
+        return false;
+    }
+    if !job.kinds.contains(&machine.kind) || job.avoid.contains(&machine.name) {
+        return false;
+    }
+    if job.zone.as_ref().is_some_and(|z| *z != machine.zone) {
+        return false;
+    }
+    if job.one_zone && job.zones.iter().any(|(z, n)| *n > 0 && *z != machine.zone) {
+        return false;
+    }
+    job.zones.get(&machine.zone).copied().unwrap_or(0) < job.most_in_zone
+}
+
+struct Mapper<'a> {
+    jobs: &'a mut [JobView],
+    machines: &'a mut [MachineView],
+    next: Vec<usize>,
+    out: Mapping,
+}
+
+impl Mapper<'_> {
+    fn place(&mut self, job: usize, at: &Best) {
+        let view = &mut self.jobs[job];
+        let task = view.waiting[self.next[job]];
+        self.next[job] += 1;
+        view.quota -= 1;
+        view.begun += 1;
+        let machine = &mut self.machines[at.machine];
+        machine.occupy(&view.need, at.start, at.end);
+        machine.images.insert(view.image.clone());
+        let late = at.end > view.due;
+        if at.start <= SLACK {
+            *view.zones.entry(machine.zone.clone()).or_default() += 1;
+            self.out.starts.push(Start {
+                job,
+                task,
+                machine: at.machine,
+            });
+        }
+        self.count(job, 1, late);
+    }
+
+    fn count(&mut self, job: usize, tasks: u32, late: bool) {
+        self.out.mapped[job].0 += tasks;
+        if late {
+            self.out.mapped[job].1 += tasks;
+        }
+    }
+
+    fn left(&self, job: usize) -> bool {
+        self.next[job] < self.jobs[job].waiting.len() && self.jobs[job].quota > 0
+    }
+
+    /// A gang's tasks start together or not at all: each zone is tried where one zone is asked
+    /// for, and the earliest end wins. Tasks that cannot all start now wait; the room they will
+    /// need is taken, so that smaller work does not keep them waiting for ever.
+    fn place_gang(&mut self, job: usize) {
+        let view = &self.jobs[job];
+        let size = view.waiting.len() - self.next[job];
+        if view.quota < size as u32 {
+            self.next[job] = view.waiting.len();
+            return;
+        }
+        if size == 1 {
+            match best(view, self.machines) {
+                Some(at) => self.place(job, &at),
+                None => self.skip(job),
+            }
+            return;
+        }
+        let zones: Vec<Option<String>> = if view.one_zone && view.zone.is_none() {
+            let mut zones: Vec<_> = self.machines.iter().map(|m| m.zone.clone()).collect();
+            zones.sort();
+            zones.dedup();
+            zones.into_iter().map(Some).collect()
+        } else {
+            vec![view.zone.clone()]
+        };
+        let mut found: Option<(f64, Vec<Best>)> = None;
+        for zone in zones {
+            let mut trial = view.clone();
+            trial.zone = zone;
+            let mut machines = self.machines.to_vec();
+            let mut places = Vec::with_capacity(size);
+            for _ in 0..size {
+                let Some(at) = best(&trial, &machines) else {
+                    break;
+                };
+                let machine = &mut machines[at.machine];
+                machine.occupy(&trial.need, at.start, at.end);
+                machine.images.insert(trial.image.clone());
+                *trial.zones.entry(machine.zone.clone()).or_default() += 1;
+                places.push(at);
+            }
+            let end = places.iter().map(|p| p.end).fold(0.0, f64::max);
+            if places.len() == size && found.as_ref().is_none_or(|(e, _)| end < *e) {
+                found = Some((end, places));
+            }
+        }
+        let Some((end, mut places)) = found else {
+            self.skip(job);
+            return;
+        };
+        let start = places.iter().map(|p| p.start).fold(0.0, f64::max);
+        for at in &mut places {
+            at.start = start;
+            at.end = end;
+            self.place(job, at);
+        }
+    }
+
+    /// No machine can take it: all of it counts as late, and it waits.
+    fn skip(&mut self, job: usize) {
+        let rest = (self.jobs[job].waiting.len() - self.next[job]) as u32;
+        self.count(job, rest, true);
+        self.next[job] = self.jobs[job].waiting.len();
+    }
+}
+
+/// Maps waiting tasks, at most so many. `startup_count` tasks of each job are startup tasks.
+pub fn map(
+    jobs: &mut [JobView],
+    machines: &mut [MachineView],
+    startup_count: u32,
+    most: usize,
+) -> Mapping {
+    let mut batch: Vec<usize> = (0..jobs.len()).collect();
+    batch.sort_by(|a, b| jobs[*a].due.total_cmp(&jobs[*b].due));
+    let mut startup: Vec<usize> = (0..jobs.len()).collect();
+    startup.sort_by(|a, b| jobs[*a].arrived.total_cmp(&jobs[*b].arrived));
+    let count = jobs.len();
+    let mut mapper = Mapper {
+        jobs,
+        machines,
+        next: vec![0; count],
+        out: Mapping {
+            mapped: vec![(0, 0); count],
+            ..Mapping::default()
+        },
+    };
+    let in_startup = |m: &Mapper, j: usize| m.left(j) && m.jobs[j].begun < startup_count;
+    let waiting_startup = |m: &Mapper| -> u32 {
+        (0..count)
+            .filter(|j| m.left(*j))
+            .map(|j| {
+                let left = (m.jobs[j].waiting.len() - m.next[j]) as u32;
+                startup_count.saturating_sub(m.jobs[j].begun).min(left)
+            })
+            .sum()
+    };
+    let startup_before = waiting_startup(&mapper);
+    let mut batch_at = 0;
+    let mut startup_at = 0;
+    let mut steps = 0;
+    let mut startup_started = 0;
+    while steps < most {
+        while batch_at < count && !mapper.left(batch[batch_at]) {
+            batch_at += 1;
+        }
+        while startup_at < count && !in_startup(&mapper, startup[startup_at]) {
+            startup_at += 1;
+        }
+        let Some(&head) = batch.get(batch_at) else {
+            break;
+        };
+        let mut chosen = head;
+        if let Some(&first) = startup.get(startup_at)
+            && first != head
+            && startup_may_pass(&mapper, first, head)
+        {
+            chosen = first;
+        }
+        let was_startup = in_startup(&mapper, chosen);
+        let starts_before = mapper.out.starts.len();
+        let before = mapper.next[chosen];
+        if mapper.jobs[chosen].gang {
+            mapper.place_gang(chosen);
+        } else {
+            match best(&mapper.jobs[chosen], mapper.machines) {
+                Some(at) => mapper.place(chosen, &at),
+                None => mapper.skip(chosen),
+            }
+        }
+        if was_startup && mapper.out.starts.len() > starts_before {
+            startup_started += 1;
+        }
+        steps += mapper.next[chosen] - before;
+    }
+    mapper.out.startup = startup_before.saturating_sub(startup_started);
+    mapper.out
+}
+
+/// The paper's guard: a startup task goes ahead only if the batch head would still be in time.
+fn startup_may_pass(mapper: &Mapper, first: usize, head: usize) -> bool {
+    let (first, head) = (&mapper.jobs[first], &mapper.jobs[head]);
+    let Some(at) = best(first, mapper.machines) else {
+        return true;
+    };
+    let Some(alone) = best(head, mapper.machines) else {
+        return true;
+    };
+    if alone.machine != at.machine {
+        return alone.end <= head.due;
+    }
+    let mut machines = mapper.machines.to_vec();
+    machines[at.machine].occupy(&first.need, at.start, at.end);
+    best(head, &machines).is_some_and(|after| after.end <= head.due)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/placement/service.rs
@@ -0,0 +1,158 @@
+//! The placing loop: plans starts, and has them recorded before anything acts on them.
+
+use super::{Mapping, map, views};
+use crate::jobs::{Entry, writer};
+use crate::membership;
+use crate::node::{Core, Node, wall_ms};
+use crate::renting;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const TICK: Duration = Duration::from_millis(400);
+const SHORTEST: Duration = Duration::from_millis(100);
+/// Most tasks mapped in a tick; a period's mapping takes in all.
+const MOST_IN_TICK: usize = 400;
+
+pub async fn run(node: Arc<Node>) {
+    loop {
+        let _ = tokio::time::timeout(TICK, node.stirred.notified()).await;
+        if node.core().loaded {
+            lead(&node).await;
+        }
+        tokio::time::sleep(SHORTEST).await;
+    }
+}
+
+async fn lead(node: &Arc<Node>) {
+    let Some(mark) = membership::lead_mark(node) else {
+        let mut core = node.core();
+        if core.leading.take().is_some() {
+            tracing::info!("no longer leading");
+            core.clear_term(Instant::now());
+        }
+        return;
+    };
+    if node.core().leading != Some(mark) {
+        if !membership::take_over(node, mark).await {
+            node.stirred.notify_one();
+            return;
+        }
+        let now = Instant::now();
+        let mut core = node.core();
+        core.clear_term(now);
+        core.leading = Some(mark);
+        core.led_since = now;
+        drop(core);
+        let size = f64::from(node.settings.params.size);
+        let rate = node.settings.params.state.write_rps;
+        // The leader records all progress; the others only accept and cancel.
+        let share = if size > 1.0 { 0.7 } else { 0.95 };
+        node.state.set_write_rate(rate * share);
+        tracing::info!(mark, "leading");
+    }
+    tick(node, mark).await;
+}
+
+async fn tick(node: &Arc<Node>, mark: u64) {
+    let now = Instant::now();
+    let now_ms = wall_ms();
+    {
+        let mut core = node.core();
+        if core.kinds.is_empty() {
+            return;
+        }
+        clear_gone(&mut core);
+        let mut views = views::build(node, &core, now, now_ms);
+        let startup = node.policy.knobs.startup_count;
+        if core.rent.period_due(node, now) {
+            let mut jobs = views.jobs.clone();
+            let mut machines = views.machines.clone();
+            let mapping = map(&mut jobs, &mut machines, startup, usize::MAX);
+            renting::service::event(node, &mut core, &views, &mapping, now, now_ms);
+        }
+        let mapping = map(&mut views.jobs, &mut views.machines, startup, MOST_IN_TICK);
+        renting::service::remedy(node, &mut core, &views, &mapping, now);
+        plan(&mut core, &mut views, &mapping);
+    }
+    writer::write(node, mark).await;
+}
+
+/// Tasks on machines whose record is gone: it is dropped only once the machine provably is.
+fn clear_gone(core: &mut Core) {
+    let gone: Vec<_> = core
+        .replica
+        .on
+        .iter()
+        .filter(|(name, _)| !core.replica.machines.contains_key(*name))
+        .flat_map(|(_, on)| on.iter().cloned())
+        .collect();
+    for id in gone {
+        if let Entry::Placed {
+            attempt, machine, ..
+        } = core.entry(&id.0, id.1)
+            && !core.replica.machines.contains_key(&machine)
+        {
+            core.plan(&id, Entry::Waiting { last: attempt });
+        }
+    }
+}
+
+fn plan(core: &mut Core, views: &mut views::Views, mapping: &Mapping) {
+    // All tasks of a gang take part in one attempt, by whose number they find one another.
+    let mut gang_attempts = std::collections::HashMap::new();
+    for (index, job) in views.jobs.iter().enumerate() {
+        if job.gang {
+            let last = job.waiting.iter();
+            let last = last.map(|t| core.entry(&job.id, *t).last_attempt());
+            gang_attempts.insert(index, last.max().unwrap_or(0) + 1);
+        }
+    }
+    let mut gangs_let_in = std::collections::HashSet::new();
+    let mut refused = std::collections::HashSet::new();
+    for start in &mapping.starts {
+        let job = &views.jobs[start.job];
+        if refused.contains(&start.job) {
+            continue;
+        }
+        // Jobs of one team share its limit, which each was mapped under by itself; a gang takes
+        // its whole share with its first task.
+        let first_of_gang = gang_attempts.contains_key(&start.job);
+        let share = match first_of_gang {
+            true => job.need.times(job.waiting.len() as f64),
+            false => job.need,
+        };
+        if let Some(room) = views.team_room.get_mut(&views.teams[start.job])
+            && !gangs_let_in.contains(&start.job)
+        {
+            if !share.fits(room) {
+                refused.insert(start.job);
+                continue;
+            }
+            room.sub(&share);
+            if first_of_gang {
+                gangs_let_in.insert(start.job);
+            }
+        }
+        let machine = &views.machines[start.machine];
+        let id = (job.id.clone(), start.task);
+        let attempt = match gang_attempts.get(&start.job) {
+            Some(attempt) => *attempt,
+            None => core.entry(&id.0, id.1).last_attempt() + 1,
+        };
+        let Some(live) = core.live.get_mut(&machine.name) else {
+            continue;
+        };
+        let session = live.report.session;
+        let cache = core.kinds.iter().find(|k| k.name == machine.kind);
+        let cache = cache.map_or(0.0, |k| k.cache_gb);
+        live.use_image(&job.image, job.image_gb, cache);
+        core.plan(
+            &id,
+            Entry::Placed {
+                attempt,
+                machine: machine.name.clone(),
+                session,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/src/placement/views.rs
@@ -0,0 +1,366 @@
+//! From records and reports to what the mapping works on.
+
+use super::{Chunk, JobView, MachineView, Need};
+use crate::jobs::{Entry, JobSpec, Shape, Urgency};
+use crate::node::{Core, Node, age_s};
+use crate::workers::{TaskId, TaskState};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::Instant;
+
+/// Most waiting tasks of one job that are looked at in one mapping.
+const MOST_WAITING: usize = 2000;
+
+pub struct Views {
+    pub jobs: Vec<JobView>,
+    pub machines: Vec<MachineView>,
+    /// Per job: the kind of machine that its tasks most need.
+    pub pools: Vec<String>,
+    pub urgencies: Vec<Urgency>,
+    pub teams: Vec<String>,
+    /// What each limited team may still take.
+    pub team_room: HashMap<String, Need>,
+    /// Jobs that fail everywhere: no machine cures that, so they rent nothing.
+    pub hopeless: Vec<bool>,
+}
+
+impl JobSpec {
+    pub fn need(&self) -> Need {
+        Need {
+            cpus: self.cpus,
+            gpus: self.gpus,
+            memory_gb: self.memory_gb,
+        }
+    }
+}
+
+pub fn room_of(kind: &crate::cloud::Kind) -> Need {
+    Need {
+        cpus: kind.cpus,
+        gpus: kind.gpus,
+        memory_gb: kind.memory_gb,
+    }
+}
+
+/// Kinds that a task may run on, cheapest first. A task without GPUs does not take a machine
+/// with some where one without would do: the GPUs would idle at many times the price.
+pub fn kinds_for(core: &Core, spec: &JobSpec) -> Vec<String> {
+    let mut kinds: Vec<_> = core
+        .kinds
+        .iter()
+        .filter(|k| spec.need().fits(&room_of(k)))
+        .filter(|k| spec.types.as_ref().is_none_or(|t| t.contains(&k.name)))
+        .filter(|k| spec.zone.as_ref().is_none_or(|z| k.zones.contains(z)))
+        .collect();
+    kinds.sort_by(|a, b| a.price.total_cmp(&b.price));
+    if spec.gpus == 0.0 && kinds.iter().any(|k| k.gpus == 0.0) {
+        kinds.retain(|k| k.gpus == 0.0);
+    }
+    kinds.into_iter().map(|k| k.name.clone()).collect()
+}
+
+/// Seconds after arrival by which a job should be complete.
+pub fn due_after(node: &Node, core: &Core, spec: &JobSpec) -> f64 {
+    if let Some(due) = spec.deadline_s {
+        return due;
+    }
+    let duration = core.duration(spec);
+    let mut due = f64::INFINITY;
+    for objective in &node.settings.params.objectives {
+        if objective.class != spec.class {
+            continue;
+        }
+        let Some(within) = objective.within_s else {
+            continue;
+        };
+        due = due.min(match objective.kind.as_str() {
+            "wait" => within + duration,
+            _ => within,
+        });
+    }
+    if due.is_finite() {
+        due
+    } else {
+        // Undated and nothing said of its class: started by arrival plus so many estimates.
+        duration * (node.policy.knobs.start_by + 1.0)
+    }
+}
+
+/// Tasks recorded, about to be recorded, or reported on a machine.
+pub fn occupants(core: &Core) -> HashMap<String, BTreeSet<TaskId>> {
+    let mut on: HashMap<String, BTreeSet<TaskId>> = core.replica.on.clone();
+    for ((job, _), changes) in &core.overlay {
+        for (task, entry) in changes {
+            let id = (job.clone(), *task);
+            match entry {
+                Entry::Placed { machine, .. } => {
+                    on.entry(machine.clone()).or_default().insert(id);
+                }
+                _ => {
+                    if let Some(Entry::Placed { machine, .. }) = core
+                        .replica
+                        .jobs
+                        .get(job)
+                        .map(|j| j.entry(core.replica.page_len, *task))
+                        && let Some(set) = on.get_mut(&machine)
+                    {
+                        set.remove(&id);
+                    }
+                }
+            }
+        }
+    }
+    for (name, live) in &core.live {
+        for task in &live.report.tasks {
+            if task.state != TaskState::Ended
+                && let Some((job, index)) = crate::jobs::split_task(&task.task)
+            {
+                let id = (job.to_owned(), index);
+                on.entry(name.clone()).or_default().insert(id);
+            }
+        }
+    }
+    on
+}
+
+fn spec_of<'a>(core: &'a Core, job: &str) -> Option<&'a JobSpec> {
+    core.replica
+        .jobs
+        .get(job)
+        .map(|j| &j.record.spec)
+        .or_else(|| core.replica.departed.get(job).map(|r| &r.spec))
+}
+
+/// What each team's tasks use now, gone jobs' remaining tasks included.
+pub fn team_use(core: &Core, on: &HashMap<String, BTreeSet<TaskId>>) -> HashMap<String, Need> {
+    let mut used: HashMap<String, Need> = HashMap::new();
+    for (job, _) in on.values().flatten() {
+        if let Some(spec) = spec_of(core, job) {
+            used.entry(spec.team.clone()).or_default().add(&spec.need());
+        }
+    }
+    used
+}
+
+pub fn build(node: &Node, core: &Core, now: Instant, now_ms: u64) -> Views {
+    let on = occupants(core);
+    let machines = machine_views(node, core, &on, now, now_ms);
+    let used = team_use(core, &on);
+    let mut views = Views {
+        jobs: Vec::new(),
+        machines,
+        pools: Vec::new(),
+        urgencies: Vec::new(),
+        teams: Vec::new(),
+        team_room: team_room(node, &used),
+        hopeless: Vec::new(),
+    };
+    for (id, job) in &core.replica.jobs {
+        if job.record.cancelled {
+            continue;
+        }
+        let failures = core.failures.get(id);
+        if failures
+            .and_then(|f| f.not_before())
+            .is_some_and(|t| now < t)
+        {
+            continue;
+        }
+        let Some(view) = job_view(node, core, job, &views.team_room, now_ms) else {
+            continue;
+        };
+        let Some(pool) = view.kinds.first().cloned() else {
+            continue;
+        };
+        views.jobs.push(view);
+        views.pools.push(pool);
+        views.teams.push(job.record.spec.team.clone());
+        views.urgencies.push(job.record.spec.urgency);
+        views
+            .hopeless
+            .push(failures.is_some_and(|f| f.is_everywhere()));
+    }
+    views
+}
+
+fn job_view(
+    node: &Node,
+    core: &Core,
+    job: &crate::state::replica::Job,
+    rooms: &HashMap<String, Need>,
+    now_ms: u64,
+) -> Option<JobView> {
+    let spec = &job.record.spec;
+    let mut waiting = Vec::new();
+    let mut zones: BTreeMap<String, u32> = BTreeMap::new();
+    let (mut done, mut placed) = (0, 0);
+    for task in 0..spec.tasks {
+        match core.entry(&spec.id, task) {
+            Entry::Waiting { .. } if waiting.len() < MOST_WAITING => waiting.push(task),
+            Entry::Waiting { .. } => break,
+            Entry::Done => done += 1,
+            Entry::Placed { machine, .. } => {
+                placed += 1;
+                if let Some(kept) = core.replica.machines.get(&machine) {
+                    *zones.entry(kept.record.zone.clone()).or_default() += 1;
+                }
+            }
+        }
+    }
+    if waiting.is_empty() {
+        return None;
+    }
+    // A gang restarts only when every task of the attempt before is gone; one that completed
+    // only needs its other tasks to report the same.
+    let gang = spec.shape == Shape::Gang && done == 0;
+    if gang && placed > 0 {
+        return None;
+    }
+    let quota = quota_left(spec, rooms);
+    let failed_on = core.failures.get(&spec.id).map(|f| f.machines.clone());
+    Some(JobView {
+        id: spec.id.clone(),
+        gang,
+        need: spec.need(),
+        kinds: kinds_for(core, spec),
+        zone: spec.zone.clone(),
+        spot: spec.spot,
+        one_zone: spec.one_zone,
+        most_in_zone: spec.most_in_zone(),
+        zones,
+        waiting,
+        begun: done + placed,
+        arrived: -age_s(job.record.accepted_ms, now_ms),
+        due: due_after(node, core, spec) - age_s(job.record.accepted_ms, now_ms),
+        duration: core.duration(spec),
+        image: spec.image.clone(),
+        image_gb: spec.image_gb,
+        quota,
+        avoid: failed_on.unwrap_or_default(),
+    })
+}
+
+/// What each team may still take under its limit; a limit of 0 is none.
+fn team_room(node: &Node, used: &HashMap<String, Need>) -> HashMap<String, Need> {
+    let left = |max: f64, used: f64| if max > 0.0 { max - used } else { f64::INFINITY };
+    let teams = node.settings.params.teams.iter();
+    teams
+        .map(|team| {
+            let now = used.get(&team.name).copied().unwrap_or_default();
+            let room = Need {
+                cpus: left(team.cpus_max, now.cpus),
+                gpus: left(team.gpus_max, now.gpus),
+                memory_gb: f64::INFINITY,
+            };
+            (team.name.clone(), room)
+        })
+        .collect()
+}
+
+/// How many more tasks the team's limit allows. Several jobs of one team share it, so the
+/// placing loop counts again as it plans.
+fn quota_left(spec: &JobSpec, rooms: &HashMap<String, Need>) -> u32 {
+    let Some(room) = rooms.get(&spec.team) else {
+        return 0; // a team that is not in the settings any more
+    };
+    let mut left = u32::MAX >> 1;
+    for (room, each) in [(room.cpus, spec.cpus), (room.gpus, spec.gpus)] {
+        if room.is_finite() && each > 0.0 {
+            left = left.min(((room + 1e-6) / each).floor().max(0.0) as u32);
+        }
+    }
+    left
+}
+
+fn machine_views(
+    node: &Node,
+    core: &Core,
+    on: &HashMap<String, BTreeSet<TaskId>>,
+    now: Instant,
+    now_ms: u64,
+) -> Vec<MachineView> {
+    let mut views = Vec::new();
+    for (name, kept) in &core.replica.machines {
+        let record = &kept.record;
+        if record.returning || core.rent.closing.contains_key(name) {
+            continue;
+        }
+        if record.owner != node.settings.member || record.incarnation != node.incarnation {
+            continue;
+        }
+        let Some(kind) = core.kind(&record.kind) else {
+            continue;
+        };
+        let live = core.live.get(name);
+        if live.is_some_and(|l| l.taken_at.is_some()) {
+            continue;
+        }
+        // One that missed reports may be gone: nothing new for it until it is heard again.
+        if live.is_some_and(|l| now.duration_since(l.heard) > node.settings.report_every() * 2) {
+            continue;
+        }
+        let up_in = match live {
+            Some(_) => 0.0,
+            None => (kind.boot_s * 1.1 - age_s(record.hired_ms, now_ms)).max(1.0),
+        };
+        let mut room = room_of(kind);
+        let mut chunks: Vec<Chunk> = Vec::new();
+        let mut unknown = false;
+        for id in on.get(name).into_iter().flatten() {
+            let Some(spec) = spec_of(core, &id.0) else {
+                unknown = true;
+                continue;
+            };
+            room.sub(&spec.need());
+            chunks.push(Chunk {
+                at: up_in + remaining(core, spec, id, live, kind, now),
+                room: spec.need(),
+            });
+        }
+        if unknown {
+            continue; // a task whose size nobody knows: no room is certain until it is gone
+        }
+        chunks.push(Chunk { at: up_in, room });
+        chunks.sort_by(|a, b| a.at.total_cmp(&b.at));
+        let mut images: HashSet<String> = HashSet::new();
+        if let Some(live) = live {
+            images.extend(live.images.iter().map(|(name, _)| name.clone()));
+        }
+        views.push(MachineView {
+            name: name.clone(),
+            kind: record.kind.clone(),
+            zone: record.zone.clone(),
+            spot: record.spot,
+            chunks,
+            images,
+            fetch_gb_per_s: kind.fetch_gb_per_s,
+            slowness: live.map_or(1.0, |l| l.slowness),
+        });
+    }
+    views
+}
+
+/// Expected remainder of a task on a machine.
+fn remaining(
+    core: &Core,
+    spec: &JobSpec,
+    id: &TaskId,
+    live: Option<&crate::workers::Live>,
+    kind: &crate::cloud::Kind,
+    now: Instant,
+) -> f64 {
+    let slowness = live.map_or(1.0, |l| l.slowness);
+    let whole = core.duration(spec) * slowness;
+    let fetch = spec.image_gb / kind.fetch_gb_per_s.max(0.001);
+    let Some(live) = live else {
+        return fetch + whole;
+    };
+    if let Some((_, since)) = live.running_since.get(id) {
+        let ran = now.saturating_duration_since(*since).as_secs_f64();
+        return (whole - ran).max(1.0 + ran * 0.1);
+    }
+    let seen = live.seen_since.get(id);
+    let waited = seen.map_or(0.0, |(_, since)| {
+        now.saturating_duration_since(*since).as_secs_f64()
+    });
+    (fetch - waited).max(0.0) + whole
+}
--- /dev/null
+++ b/src/renting/mod.rs
@@ -0,0 +1,156 @@
+//! When to rent and when to return: the paper's periodic and remedial rules, per kind of machine.
+
+pub mod service;
+
+use serde::{Deserialize, Serialize};
+
+/// The open values of the design, which operators may set.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Knobs {
+    pub alpha: f64,
+    pub beta: f64,
+    pub theta: f64,
+    /// Least value of k.
+    pub k: f64,
+    pub period_s: f64,
+    pub hold_s: f64,
+    pub startup_count: u32,
+    /// Undated tasks start by arrival plus so many estimates.
+    pub start_by: f64,
+}
+
+impl Default for Knobs {
+    fn default() -> Self {
+        Self {
+            alpha: 0.02,
+            beta: 0.2,
+            theta: 10.0,
+            k: 1.0,
+            period_s: 10.0,
+            hold_s: 600.0,
+            startup_count: 2,
+            start_by: 10.0,
+        }
+    }
+}
+
+/// What controllers publish each period for a kind of machine, summed by the leader.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Outlook {
+    /// Late now: finished late since the last event, and waiting past their time.
+    pub late_now: u32,
+    pub counted_now: u32,
+    /// Expected late among those mapped to the next event.
+    pub late_next: u32,
+    pub counted_next: u32,
+    /// The startup queue's length.
+    pub startup: u32,
+    /// Machines that the late tasks would fill.
+    pub wanted: u32,
+}
+
+impl Outlook {
+    pub fn add(&mut self, other: &Outlook) {
+        self.late_now += other.late_now;
+        self.counted_now += other.counted_now;
+        self.late_next += other.late_next;
+        self.counted_next += other.counted_next;
+        self.startup += other.startup;
+        self.wanted += other.wanted;
+    }
+
+    pub fn rate_now(&self) -> f64 {
+        f64::from(self.late_now) / f64::from(self.counted_now.max(1))
+    }
+
+    pub fn rate_next(&self) -> f64 {
+        f64::from(self.late_next) / f64::from(self.counted_next.max(1))
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    Rent(u32),
+    Return,
+    Keep,
+}
+
+/// The periodic rule (the paper's algorithm 1).
+pub fn periodic(outlook: &Outlook, knobs: &Knobs, k: f64) -> Verdict {
+    let (now, next) = (outlook.rate_now(), outlook.rate_next());
+    let change = next - now;
+    if change >= 0.0 && next >= knobs.beta {
+        let n = (k.max(knobs.k) * next / knobs.beta).floor() as u32;
+        Verdict::Rent(n.max(1))
+    } else if change <= 0.0 && next <= knobs.alpha {
+        Verdict::Return
+    } else {
+        Verdict::Keep
+    }
+}
+
+/// The remedial rule (equation 2), less what is booting.
+pub fn remedial(startup: u32, booting: u32, knobs: &Knobs) -> u32 {
+    let ns = f64::from(startup) - 1.0;
+    let n = (ns / (knobs.theta * knobs.beta)).floor().max(0.0) as u32;
+    n.saturating_sub(booting)
+}
+
+/// A machine as far as returning goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Held {
+    pub name: String,
+    pub remaining_hold_s: f64,
+    pub tasks: u32,
+}
+
+/// The machine to stop placing on: least remaining hold, and it is over; among equals the least
+/// busy.
+pub fn to_return(held: &[Held]) -> Option<&Held> {
+    held.iter()
+        .filter(|h| h.remaining_hold_s <= 0.0)
+        .min_by(|a, b| {
+            (a.tasks, a.remaining_hold_s)
+                .partial_cmp(&(b.tasks, b.remaining_hold_s))
+                .unwrap_or(std::cmp::Ordering::Equal)
+        })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn outlook(now: (u32, u32), next: (u32, u32)) -> Outlook {
+        Outlook {
+            late_now: now.0,
+            counted_now: now.1,
+            late_next: next.0,
+            counted_next: next.1,
+            ..Outlook::default()
+        }
+    }
+
+    #[test]
+    fn bands_and_formulas() {
+        let knobs = Knobs::default();
+        let mut trace = String::new();
+        for (now, next, k) in [
+            ((0, 10), (0, 10), 1.0),
+            ((0, 10), (1, 10), 1.0),
+            ((0, 10), (2, 10), 1.0),
+            ((1, 10), (5, 10), 1.0),
+            ((1, 10), (5, 10), 2.5),
+            ((6, 10), (5, 10), 1.0),
+            ((3, 10), (0, 10), 1.0),
+            ((0, 0), (0, 0), 1.0),
+        ] {
+            let verdict = periodic(&outlook(now, next), &knobs, k);
+            trace.push_str(&format!("now {now:?} next {next:?} k {k} -> {verdict:?}\n"));
+        }
+        for (startup, booting) in [(0, 0), (1, 0), (2, 0), (3, 0), (16, 0), (16, 5), (16, 9)] {
+            let n = remedial(startup, booting, &knobs);
+            trace.push_str(&format!("startup {startup} booting {booting} -> rent {n}\n"));
+        }
+        insta::assert_snapshot!(trace);
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,237 @@
+//! The settings file that the platform hands over: read, checked, named by field when wrong.
+
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Why a settings file was refused. Each message is one line and names the field.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("settings {path}: cannot be read: {source}")]
+    Unreadable {
+        path: String,
+        source: std::io::Error,
+    },
+    #[error("settings {path}: {source}")]
+    Malformed {
+        path: String,
+        source: serde_json::Error,
+    },
+    #[error("settings {path}: field `{field}`: {reason}")]
+    Invalid {
+        path: String,
+        field: &'static str,
+        reason: String,
+    },
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    pub member: String,
+    #[serde(rename = "site")]
+    pub zone: String,
+    pub api_addr: SocketAddr,
+    pub mesh_addr: SocketAddr,
+    #[serde(rename = "known")]
+    pub peers: Vec<Peer>,
+    pub endpoints: Endpoints,
+    pub params: Params,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    pub member: String,
+    pub addr: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Endpoints {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    pub size: u32,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: WorkerParams,
+    pub state: StateParams,
+    pub cloud: CloudParams,
+    pub limits: Limits,
+    pub skew_ms: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: String,
+    pub within_s: Option<f64>,
+    pub share: Option<f64>,
+    pub times: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct WorkerParams {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateParams {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudParams {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Limits {
+    pub core_share: f64,
+    pub mem_mb: f64,
+    pub sockets: usize,
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+            path: shown.clone(),
+            source,
+        })?;
+        Self::parse(&text, &shown)
+    }
+
+    pub fn parse(text: &str, shown: &str) -> Result<Self, SettingsError> {
+        let settings: Self =
+            serde_json::from_str(text).map_err(|source| SettingsError::Malformed {
+                path: shown.to_owned(),
+                source,
+            })?;
+        settings
+            .validate()
+            .map_err(|(field, reason)| SettingsError::Invalid {
+                path: shown.to_owned(),
+                field,
+                reason,
+            })?;
+        Ok(settings)
+    }
+
+    fn validate(&self) -> Result<(), (&'static str, String)> {
+        let p = &self.params;
+        if self.member.is_empty() {
+            return Err(("member", "must not be empty".into()));
+        }
+        if p.size == 0 {
+            return Err(("params.size", "must be at least 1".into()));
+        }
+        let above_zero = [
+            ("params.workers.report_s", p.workers.report_s),
+            ("params.workers.lease_s", p.workers.lease_s),
+            ("params.workers.gang_wait_s", p.workers.gang_wait_s),
+            ("params.workers.gang_peer_s", p.workers.gang_peer_s),
+            ("params.workers.cancel_s", p.workers.cancel_s),
+            ("params.state.rps", p.state.rps),
+            ("params.state.write_rps", p.state.write_rps),
+            ("params.state.value_kb", p.state.value_kb),
+            ("params.cloud.rps", p.cloud.rps),
+            ("params.limits.core_share", p.limits.core_share),
+            ("params.limits.mem_mb", p.limits.mem_mb),
+        ];
+        for (field, value) in above_zero {
+            if !value.is_finite() || value <= 0.0 {
+                return Err((field, format!("must be above 0, is {value}")));
+            }
+        }
+        for (field, value) in [
+            ("params.cloud.list_lag_s", p.cloud.list_lag_s),
+            ("params.skew_ms", p.skew_ms),
+        ] {
+            if !value.is_finite() || value < 0.0 {
+                return Err((field, format!("must not be negative, is {value}")));
+            }
+        }
+        if p.state.txn_ops < 4 {
+            return Err((
+                "params.state.txn_ops",
+                format!("must be at least 4, is {}", p.state.txn_ops),
+            ));
+        }
+        if p.limits.sockets < 32 {
+            return Err((
+                "params.limits.sockets",
+                format!("must be at least 32, is {}", p.limits.sockets),
+            ));
+        }
+        for team in &p.teams {
+            for amount in [team.cpus, team.cpus_max, team.gpus, team.gpus_max] {
+                if !amount.is_finite() || amount < 0.0 {
+                    return Err((
+                        "params.teams",
+                        format!("team `{}` has an amount of {amount}", team.name),
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub fn teams_by_name(&self) -> BTreeMap<String, Team> {
+        let teams = self.params.teams.iter();
+        teams.map(|t| (t.name.clone(), t.clone())).collect()
+    }
+
+    pub fn lease(&self) -> Duration {
+        Duration::from_secs_f64(self.params.workers.lease_s)
+    }
+
+    pub fn report_every(&self) -> Duration {
+        Duration::from_secs_f64(self.params.workers.report_s)
+    }
+
+    /// Presence leases: short enough that a takeover ends within a worker's lease.
+    pub fn presence_ttl(&self) -> Duration {
+        Duration::from_secs_f64((self.params.workers.lease_s * 0.25).clamp(2.0, 5.0))
+    }
+
+    /// How long a node may renew workers after its last proof of state contact. Past this, a
+    /// cancellation it never heard of could outlive `cancel_s` on a machine it keeps alive.
+    pub fn blind_limit(&self) -> Duration {
+        let w = &self.params.workers;
+        let margin = 2.0 + w.cancel_s * 0.002 + self.params.skew_ms / 1000.0;
+        Duration::from_secs_f64((w.cancel_s - w.lease_s * 1.001 - margin).max(0.5))
+    }
+
+    /// Tasks on one progress page, so that the page fits a value of the state service.
+    pub fn page_len(&self) -> usize {
+        // A placed task is written as [attempt,"machine",session]: 48 bytes cover long names.
+        ((self.params.state.value_kb * 1024.0 / 48.0) as usize).clamp(8, 512)
+    }
+}
--- /dev/null
+++ b/src/state/budget.rs
@@ -0,0 +1,73 @@
+//! This node's share of a rate limit, with a reserve that only users' changes may use.
+
+use std::time::Instant;
+
+#[derive(Debug)]
+pub struct Budget {
+    rate: f64,
+    level: f64,
+    at: Instant,
+}
+
+/// Who asks: users' accepts and cancellations may use what is kept back from all others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Need {
+    User,
+    Own,
+}
+
+impl Budget {
+    pub fn new(rate: f64, now: Instant) -> Self {
+        Self {
+            rate,
+            level: rate,
+            at: now,
+        }
+    }
+
+    pub fn set_rate(&mut self, rate: f64, now: Instant) {
+        self.refill(now);
+        self.rate = rate;
+        self.level = self.level.min(rate);
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = now;
+        self.level = (self.level + passed * self.rate).min(self.rate);
+    }
+
+    /// How many may be taken now by that need.
+    pub fn available(&mut self, need: Need, now: Instant) -> f64 {
+        self.refill(now);
+        match need {
+            Need::User => self.level,
+            Need::Own => self.level - self.rate * 0.2,
+        }
+    }
+
+    pub fn take(&mut self, count: f64, now: Instant) {
+        self.refill(now);
+        self.level -= count;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    #[test]
+    fn own_writes_leave_the_reserve_to_users() {
+        let start = Instant::now();
+        let mut budget = Budget::new(10.0, start);
+        assert_eq!(budget.available(Need::Own, start), 8.0);
+        budget.take(8.0, start);
+        assert!(budget.available(Need::Own, start) <= 0.0);
+        assert_eq!(budget.available(Need::User, start), 2.0);
+        let later = start + Duration::from_millis(500);
+        assert!(budget.available(Need::Own, later) >= 4.9);
+        let much_later = start + Duration::from_secs(60);
+        assert_eq!(budget.available(Need::User, much_later), 10.0);
+    }
+}
--- /dev/null
+++ b/src/state/follow.rs
@@ -0,0 +1,87 @@
+//! Keeps the replica up to date, and proves contact with the state service.
+
+use super::client::{Pair, ReadError};
+use super::{LIVE, StateClient};
+use crate::node::Node;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const HOLD: Duration = Duration::from_millis(1000);
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Loads the records once, then follows the log for as long as the process lives.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        if load(&node).await.is_err() {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        }
+        node.core().loaded = true;
+        while let Ok(()) | Err(ReadError::Failed) = turn(&node, HOLD).await {}
+        node.core().loaded = false;
+        tracing::info!("the log was cut before our place: loading anew");
+    }
+}
+
+/// Serves those who wait for a read of their own, one read at a time for all of them.
+pub async fn serve_syncs(node: Arc<Node>) {
+    loop {
+        node.sync_wanted.notified().await;
+        let waiters = node.take_sync_waiters();
+        if waiters.is_empty() {
+            continue;
+        }
+        let loaded = node.core().loaded;
+        let fresh = loaded && turn(&node, Duration::ZERO).await.is_ok();
+        for waiter in waiters {
+            let _ = waiter.send(fresh);
+        }
+    }
+}
+
+async fn turn(node: &Node, hold: Duration) -> Result<(), ReadError> {
+    let from = node.core().replica.revision;
+    let sent = Instant::now();
+    match node.state.follow(from, hold).await {
+        Ok(followed) => {
+            let mut core = node.core();
+            let stirred = !followed.log.is_empty();
+            core.replica.take(followed.log, followed.ledger);
+            core.proof = core.proof.max(Some(sent));
+            drop(core);
+            if stirred {
+                node.stirred.notify_one();
+            }
+            Ok(())
+        }
+        Err(error) => {
+            if !hold.is_zero() {
+                tokio::time::sleep(PAUSE).await;
+            }
+            Err(error)
+        }
+    }
+}
+
+async fn load(node: &Node) -> Result<(), ReadError> {
+    let (pairs, revision) = read_all(&node.state).await?;
+    node.core().replica.reset(pairs, revision);
+    // The pages of the listing are of different moments; the log from the first one on makes
+    // them agree.
+    turn(node, Duration::ZERO).await
+}
+
+async fn read_all(state: &StateClient) -> Result<(Vec<Pair>, u64), ReadError> {
+    let mut all: Vec<Pair> = Vec::new();
+    let mut revision = None;
+    loop {
+        let from = all.last().map(|p| p.k.clone());
+        let listing = state.list(LIVE, from.as_deref()).await?;
+        let first = *revision.get_or_insert(listing.ledger);
+        let ended = !listing.more || listing.pairs.is_empty();
+        all.extend(listing.pairs);
+        if ended {
+            return Ok((all, first));
+        }
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,33 @@
+//! The state service: its client, our share of its limits, and the replica kept of our records.
+
+pub mod budget;
+pub mod client;
+pub mod follow;
+pub mod replica;
+
+pub use client::{Guard, Op, StateClient, TxnError};
+pub use replica::Replica;
+
+/// Everything that every node follows. Final states lie outside it, so that what the nodes hold
+/// in memory stays bounded as finished jobs pile up.
+pub const LIVE: &str = "r/";
+
+pub fn job_key(id: &str) -> String {
+    format!("r/j/{id}")
+}
+pub fn page_key(id: &str, page: usize) -> String {
+    format!("r/p/{id}/{page}")
+}
+pub fn machine_key(name: &str) -> String {
+    format!("r/m/{name}")
+}
+pub fn hire_key(name: &str) -> String {
+    format!("r/h/{name}")
+}
+pub fn presence_key(member: &str) -> String {
+    format!("r/n/{member}")
+}
+pub const LEADER_KEY: &str = "r/leader";
+pub fn final_key(id: &str) -> String {
+    format!("e/{id}")
+}
--- /dev/null
+++ b/src/workers/mod.rs
@@ -0,0 +1,243 @@
+//! What a worker's report means and what it is told: facts for the records, orders for the worker.
+
+pub mod service;
+pub mod wire;
+
+pub use wire::{Cause, Order, Report, TaskState};
+
+use crate::jobs::{Entry, split_task};
+use crate::state::Replica;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+/// A task of a job, by number.
+pub type TaskId = (String, u32);
+
+/// What the owner knows of a machine beyond its record: kept in memory, learned anew by the next
+/// owner from reports.
+#[derive(Debug)]
+pub struct Live {
+    pub report: Report,
+    pub heard: Instant,
+    /// When the cloud takes it, if it has said so.
+    pub taken_at: Option<Instant>,
+    /// Attempts for which `run` was sent under this ownership.
+    pub sent: HashSet<(TaskId, u64)>,
+    /// When each running attempt was first seen running.
+    pub running_since: HashMap<TaskId, (u64, Instant)>,
+    /// When each attempt was first seen on the machine or sent to it.
+    pub seen_since: HashMap<TaskId, (u64, Instant)>,
+    /// Jobs that failed here since something last succeeded here.
+    pub failed_jobs: HashSet<String>,
+    /// Measured over expected run time, smoothed.
+    pub slowness: f64,
+    /// Images it should have, most recently used last, with their sizes.
+    pub images: Vec<(String, f64)>,
+}
+
+impl Live {
+    pub fn new(report: Report, now: Instant) -> Self {
+        Self {
+            report,
+            heard: now,
+            taken_at: None,
+            sent: HashSet::new(),
+            running_since: HashMap::new(),
+            seen_since: HashMap::new(),
+            failed_jobs: HashSet::new(),
+            slowness: 1.0,
+            images: Vec::new(),
+        }
+    }
+
+    /// Notes that the machine uses an image; the least recently used ones give way.
+    pub fn use_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push((image.to_owned(), gb));
+        while self.images.len() > 1 && self.images.iter().map(|i| i.1).sum::<f64>() > cache_gb {
+            self.images.remove(0);
+        }
+    }
+
+    /// Whether a report is newer than the one held: late copies must not undo it.
+    pub fn is_newer(&self, report: &Report) -> bool {
+        (report.session, report.seq) > (self.report.session, self.report.seq)
+    }
+}
+
+/// Stops asked for by drains and preemption, by attempt, with the grace for saving.
+pub type Stops = HashMap<(TaskId, u64), f64>;
+
+#[derive(Debug, Default, PartialEq)]
+pub struct Reading {
+    /// Exits to be recorded.
+    pub facts: BTreeMap<TaskId, Entry>,
+    pub orders: Vec<Order>,
+    /// Tasks that completed, with the time they ran where it is known.
+    pub completed: Vec<(TaskId, Option<Duration>)>,
+    /// Tasks that failed.
+    pub failed: Vec<TaskId>,
+}
+
+/// Reads a report by the machine's owner. `token` is the mark of the machine's owner key.
+pub fn read(
+    report: &Report,
+    live: &mut Live,
+    replica: &Replica,
+    token: u64,
+    stops: &Stops,
+    now: Instant,
+) -> Reading {
+    let mut out = Reading::default();
+    let mut reported: HashMap<TaskId, u64> = HashMap::new();
+    for task in &report.tasks {
+        let Some((job, index)) = split_task(&task.task) else {
+            continue;
+        };
+        let id: TaskId = (job.to_owned(), index);
+        let record = replica.jobs.get(job);
+        let entry = match record {
+            Some(job) => job.entry(replica.page_len, index),
+            None => orphan_entry(replica, &id),
+        };
+        let recorded = matches!(&entry, Entry::Placed { attempt, machine, .. }
+            if *attempt == task.attempt && *machine == report.machine);
+        if recorded {
+            reported.insert(id.clone(), task.attempt);
+        }
+        match task.state {
+            TaskState::Ended => {
+                if !recorded || record.is_none() {
+                    // The exit is in the records, or its job is over: the worker may forget it.
+                    out.orders.push(Order::reap(&task.task, task.attempt));
+                    continue;
+                }
+                let ran = live
+                    .running_since
+                    .remove(&id)
+                    .filter(|(attempt, _)| *attempt == task.attempt)
+                    .map(|(_, since)| now.saturating_duration_since(since));
+                live.seen_since.remove(&id);
+                match task.cause {
+                    Some(Cause::Done) => {
+                        out.facts.insert(id.clone(), Entry::Done);
+                        out.completed.push((id, ran));
+                    }
+                    cause => {
+                        if cause == Some(Cause::Error) {
+                            out.failed.push(id.clone());
+                        }
+                        out.facts
+                            .insert(id, Entry::Waiting { last: task.attempt });
+                    }
+                }
+            }
+            state => {
+                let over = record.is_none_or(|job| job.record.cancelled);
+                if over || !recorded {
+                    // Cancelled, or started by a record that was since withdrawn.
+                    out.orders.push(Order::stop(&task.task, task.attempt, 0.0));
+                    continue;
+                }
+                live.seen_since
+                    .entry(id.clone())
+                    .and_modify(|seen| {
+                        if seen.0 != task.attempt {
+                            *seen = (task.attempt, now);
+                        }
+                    })
+                    .or_insert((task.attempt, now));
+                if state == TaskState::Running {
+                    let since = live
+                        .running_since
+                        .entry(id.clone())
+                        .or_insert((task.attempt, now));
+                    if since.0 != task.attempt {
+                        *since = (task.attempt, now);
+                    }
+                }
+                if state != TaskState::Flushing
+                    && let Some(grace) = stops.get(&(id, task.attempt))
+                {
+                    out.orders
+                        .push(Order::stop(&task.task, task.attempt, *grace));
+                }
+            }
+        }
+    }
+    read_absences(
+        report, live, replica, token, stops, now, &reported, &mut out,
+    );
+    live.running_since
+        .retain(|id, (attempt, _)| reported.get(id) == Some(attempt));
+    out
+}
+
+fn orphan_entry(replica: &Replica, id: &TaskId) -> Entry {
+    let page = replica.page_of(id.1);
+    replica
+        .orphans
+        .get(&(id.0.clone(), page))
+        .map(|kept| kept.record.get(id.1 as usize % replica.page_len))
+        .unwrap_or_default()
+}
+
+/// Tasks that the records place here and the report does not name: not begun, or gone.
+#[allow(clippy::too_many_arguments)]
+fn read_absences(
+    report: &Report,
+    live: &mut Live,
+    replica: &Replica,
+    token: u64,
+    stops: &Stops,
+    now: Instant,
+    reported: &HashMap<TaskId, u64>,
+    out: &mut Reading,
+) {
+    let Some(on) = replica.on.get(&report.machine) else {
+        return;
+    };
+    for id in on {
+        if reported.contains_key(id) {
+            continue;
+        }
+        let record = replica.jobs.get(&id.0);
+        let entry = match record {
+            Some(job) => job.entry(replica.page_len, id.1),
+            None => orphan_entry(replica, id),
+        };
+        let Entry::Placed {
+            attempt, session, ..
+        } = entry
+        else {
+            continue;
+        };
+        if session < report.session {
+            // The worker killed and forgot all tasks of the sessions before, and drops answers
+            // to reports from them: it is gone and cannot begin any more.
+            out.facts.insert(id.clone(), Entry::Waiting { last: attempt });
+            continue;
+        }
+        if session > report.session {
+            continue; // a late report from before the start
+        }
+        let cancelled = record.is_none_or(|job| job.record.cancelled);
+        let withdrawn = stops.contains_key(&(id.clone(), attempt))
+            && !live.sent.contains(&(id.clone(), attempt));
+        if cancelled || withdrawn {
+            // An earlier owner's `run` may still be under way until the worker has seen our
+            // token; from then on only we could start it, and we will not.
+            if report.token >= token {
+                out.facts.insert(id.clone(), Entry::Waiting { last: attempt });
+            }
+            continue;
+        }
+        live.sent.insert((id.clone(), attempt));
+        live.seen_since.insert(id.clone(), (attempt, now));
+        let name = format!("{}/{}", id.0, id.1);
+        out.orders.push(Order::run(&name, attempt));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/workers/service.rs
@@ -0,0 +1,199 @@
+//! Answers workers' reports: the machine's owner reads them, every other node names the owner.
+
+use super::{Live, Report, read};
+use crate::api::{Answer, come_back, error, json};
+use crate::jobs::Entry;
+use crate::membership;
+use crate::node::{Core, Node, wall_ms};
+use crate::renting::service::adopt;
+use crate::state::replica::MachineRecord;
+use crate::workers::wire;
+use hyper::StatusCode;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+fn elsewhere(member: Option<&str>) -> Answer {
+    let body = match member {
+        Some(member) => json!({ "miller": member }),
+        None => json!({}),
+    };
+    json(StatusCode::MISDIRECTED_REQUEST, &body)
+}
+
+pub async fn hello(node: &Arc<Node>, body: &[u8]) -> Answer {
+    let report: Report = match serde_json::from_slice(body) {
+        Ok(report) => report,
+        Err(problem) => return error(StatusCode::BAD_REQUEST, &problem.to_string()),
+    };
+    let owner = {
+        let core = node.core();
+        let kept = core.replica.machines.get(&report.machine);
+        kept.map(|k| (k.record.owner.clone(), k.record.incarnation))
+    };
+    let me = (node.settings.member.clone(), node.incarnation);
+    let ours = match owner {
+        Some(owner) => owner == me,
+        None => match greet_unknown(node, &report).await {
+            Ok(()) => true,
+            Err(answer) => return answer,
+        },
+    };
+    if !ours {
+        let core = node.core();
+        let leader = core.replica.leader.as_ref();
+        let leader = leader.map(|l| l.record.member.as_str());
+        return elsewhere(leader.filter(|l| *l != node.settings.member));
+    }
+    // Without proof of state contact a cancellation may have passed us by: keeping the worker's
+    // lease alive would keep cancelled tasks running. It ends by itself if we stay silent.
+    let blind = node.settings.blind_limit();
+    if !node.has_state(blind) {
+        return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "no state service");
+    }
+    if node.core().leading.is_none() {
+        // Elected, but records of an earlier owner may still be on their way to us.
+        return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "taking over");
+    }
+    let now = Instant::now();
+    let mut core = node.core();
+    let Some(answer) = take(&mut core, report, now) else {
+        return elsewhere(None);
+    };
+    drop(core);
+    node.stirred.notify_one();
+    answer
+}
+
+/// A machine in no record: the leader adopts it, others send it to the leader.
+async fn greet_unknown(node: &Arc<Node>, report: &Report) -> Result<(), Answer> {
+    let Some(mark) = membership::lead_mark(node) else {
+        let core = node.core();
+        let leader = core.replica.leader.as_ref();
+        return Err(elsewhere(leader.map(|l| l.record.member.as_str())));
+    };
+    let refuse = || come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "not known yet");
+    {
+        let core = node.core();
+        // Our own rental may be about to be recorded; and one just released only reports late.
+        if core.leading.is_none()
+            || core.replica.released(&report.machine)
+            || !core.replica.hires.is_empty()
+        {
+            return Err(refuse());
+        }
+    }
+    let record = MachineRecord {
+        owner: node.settings.member.clone(),
+        incarnation: node.incarnation,
+        addr: report.addr.clone(),
+        kind: report.kind.clone(),
+        zone: report.zone.clone(),
+        spot: report.spot,
+        hired_ms: wall_ms(),
+        returning: false,
+    };
+    match adopt(node, mark, &report.machine, record).await {
+        true => Ok(()),
+        false => Err(refuse()),
+    }
+}
+
+/// Reads an owned machine's report into what is known and planned, and answers it.
+fn take(core: &mut Core, report: Report, now: Instant) -> Option<Answer> {
+    let name = report.machine.clone();
+    let kept = core.replica.machines.get(&name)?;
+    let token = kept.mark;
+    let cache_gb = core.kind(&report.kind).map_or(0.0, |k| k.cache_gb);
+    let mut live = core
+        .live
+        .remove(&name)
+        .unwrap_or_else(|| Live::new(report.clone(), now));
+    let late = live.report != report && !live.is_newer(&report);
+    if late {
+        // A late copy: its task list is old, and nobody reads the answer.
+        core.live.insert(name, live);
+        return Some(error(StatusCode::CONFLICT, "an older report"));
+    }
+    if report.session > live.report.session {
+        live.sent.clear();
+    }
+    live.heard = now;
+    live.taken_at = report
+        .notice_s
+        .map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
+    let reading = read(&report, &mut live, &core.replica, token, &core.stops, now);
+    for task in &report.tasks {
+        if let Some((job, _)) = crate::jobs::split_task(&task.task)
+            && let Some(job) = core.replica.jobs.get(job)
+        {
+            let spec = &job.record.spec;
+            live.use_image(&spec.image, spec.image_gb, cache_gb);
+        }
+    }
+    live.report = report;
+    for (id, ran) in &reading.completed {
+        learn(core, &mut live, id, *ran);
+        live.failed_jobs.clear();
+    }
+    for id in &reading.failed {
+        fail(core, &mut live, &name, id, now);
+    }
+    for (id, entry) in reading.facts {
+        if let Entry::Waiting { last } = &entry {
+            core.stops.remove(&(id.clone(), *last));
+            // A start planned on top of this exit already says the same.
+            if core.entry(&id.0, id.1).last_attempt() > *last {
+                continue;
+            }
+        }
+        core.plan(&id, entry);
+    }
+    core.live.insert(name, live);
+    Some(json(
+        StatusCode::OK,
+        &wire::Answer {
+            token,
+            orders: reading.orders,
+        },
+    ))
+}
+
+fn learn(core: &mut Core, live: &mut Live, id: &super::TaskId, ran: Option<Duration>) {
+    let Some(job) = core.replica.jobs.get(&id.0) else {
+        return;
+    };
+    let spec = &job.record.spec;
+    let first = job.entry(core.replica.page_len, id.1).last_attempt() == 1;
+    let age = crate::node::age_s(job.record.accepted_ms, wall_ms());
+    let late = spec.deadline_s.is_some_and(|due| age > due);
+    if let Some(pool) = crate::placement::views::kinds_for(core, spec).first() {
+        let tally = core.rent.tally.entry(pool.clone()).or_default();
+        tally.finished += 1;
+        tally.finished_late += u32::from(late);
+    }
+    let Some(ran) = ran.filter(|_| first && spec.estimate_s > 0.0) else {
+        return;
+    };
+    let ratio = ran.as_secs_f64() / spec.estimate_s;
+    let class = spec.class.clone();
+    let learned = core.learned.entry(class).or_default();
+    let relative = ratio / learned.mean().max(0.05);
+    live.slowness = (live.slowness * 0.8 + relative * 0.2).clamp(0.7, 6.0);
+    learned.add(ratio);
+}
+
+fn fail(core: &mut Core, live: &mut Live, machine: &str, id: &super::TaskId, now: Instant) {
+    let failures = core.failures.entry(id.0.clone()).or_default();
+    failures.machines.insert(machine.to_owned());
+    failures.count += 1;
+    failures.last = Some(now);
+    if failures.is_everywhere() {
+        return; // the job is at fault rather than the machine
+    }
+    live.failed_jobs.insert(id.0.clone());
+    if live.failed_jobs.len() >= 2 {
+        tracing::info!(machine, "fails whatever it is given");
+        core.rent.to_return.push(machine.to_owned());
+    }
+}
