--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -169,7 +169,11 @@
         },
     ];
     let put = Op::set(job_key(&id), &record);
-    match node.state.transact(&guards, &[put.clone()]).await {
+    match node
+        .state
+        .transact(&guards, std::slice::from_ref(&put))
+        .await
+    {
         Ok(ledger) => {
             if let Op::Set { set, data, .. } = put {
                 node.core().replica.put(&set, data, ledger);
@@ -254,7 +258,11 @@
             mark,
         }];
         let put = Op::set(job_key(id), &record);
-        match node.state.transact(&guards, &[put.clone()]).await {
+        match node
+            .state
+            .transact(&guards, std::slice::from_ref(&put))
+            .await
+        {
             Ok(ledger) => {
                 if let Op::Set { set, data, .. } = put {
                     node.core().replica.put(&set, data, ledger);
--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -104,7 +104,6 @@
 
 const CALL_LIMIT: Duration = Duration::from_secs(3);
 pub const MOST_RELEASED: usize = 100;
-pub const MOST_RENTED: u32 = 50;
 
 pub struct CloudClient {
     http: Client,
--- a/src/http.rs
+++ b/src/http.rs
@@ -93,7 +93,9 @@
             let response = sender.send_request(request).await;
             let response = response.map_err(|_| CallError::Unanswered)?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), MOST_BODY).collect().await;
+            let body = Limited::new(response.into_body(), MOST_BODY)
+                .collect()
+                .await;
             let body = body.map_err(|_| CallError::Unanswered)?.to_bytes();
             if sender.ready().await.is_ok() {
                 self.put_idle(sender);
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -5,7 +5,7 @@
 pub mod writer;
 
 pub use pages::{Entry, Page};
-pub use spec::{JobSpec, Shape, SpecError, Urgency, is_job_id};
+pub use spec::{JobSpec, Shape, Urgency, is_job_id};
 
 use serde::{Deserialize, Serialize};
 
--- a/src/jobs/pages.rs
+++ b/src/jobs/pages.rs
@@ -8,7 +8,9 @@
 pub enum Entry {
     /// Not on any machine. `last` is the highest attempt ever recorded for it; attempts are
     /// never used twice, since a worker that reaped one would run it again.
-    Waiting { last: u64 },
+    Waiting {
+        last: u64,
+    },
     /// Recorded as started: it may be on that machine until proven gone.
     Placed {
         attempt: u64,
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -38,7 +38,12 @@
             .iter()
             .filter_map(|(id, job)| {
                 let last = over(&core, id, job)?;
-                Some((id.clone(), job.mark, job.pages.keys().copied().collect(), last))
+                Some((
+                    id.clone(),
+                    job.mark,
+                    job.pages.keys().copied().collect(),
+                    last,
+                ))
             })
             .collect()
     };
@@ -78,7 +83,9 @@
         let any = (0..tasks).any(|t| matches!(core.entry(id, t), Entry::Placed { .. }));
         return (!any).then_some(Final::Cancelled);
     }
-    let changed = core.overlay.range((id.to_owned(), 0)..=(id.to_owned(), usize::MAX));
+    let changed = core
+        .overlay
+        .range((id.to_owned(), 0)..=(id.to_owned(), usize::MAX));
     let pending: usize = changed.map(|(_, c)| c.len()).sum();
     if (job.done as usize + pending) < tasks as usize {
         return None;
@@ -101,9 +108,8 @@
         for page in &dirty {
             let added = page.guards.iter();
             let added = added.filter(|g| !guards.contains_key(&g.k)).count();
-            let full = count >= room
-                || guards.len() + added > ops * 4
-                || bytes + page.bytes > MOST_BYTES;
+            let full =
+                count >= room || guards.len() + added > ops * 4 || bytes + page.bytes > MOST_BYTES;
             if full && count > 0 {
                 break;
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -75,7 +75,10 @@
         .with_target(false)
         .init();
     if !matches!(wanted.as_str(), "" | "error" | "info" | "debug") {
-        tracing::info!(wanted, "LOG_LEVEL is none of error, info, debug: using info");
+        tracing::info!(
+            wanted,
+            "LOG_LEVEL is none of error, info, debug: using info"
+        );
     }
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -90,7 +90,6 @@
     pub settings: Settings,
     pub policy: Policy,
     pub incarnation: u64,
-    pub started: Instant,
     pub state: StateClient,
     pub cloud: CloudClient,
     core: Mutex<Core>,
@@ -107,7 +106,6 @@
         let write_share = settings.params.state.write_rps / f64::from(settings.params.size);
         Self {
             incarnation: rand::random::<u64>() >> 12,
-            started: now,
             state: StateClient::new(settings.endpoints.state, write_share),
             cloud: CloudClient::new(settings.endpoints.cloud),
             core: Mutex::new(Core {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -158,8 +158,6 @@
     pub starts: Vec<Start>,
     /// Per job: tasks mapped, and of these the ones expected to be late.
     pub mapped: Vec<(u32, u32)>,
-    /// Length of the startup queue after what starts now.
-    pub startup: u32,
 }
 
 struct Best {
@@ -342,20 +340,9 @@
         },
     };
     let in_startup = |m: &Mapper, j: usize| m.left(j) && m.jobs[j].begun < startup_count;
-    let waiting_startup = |m: &Mapper| -> u32 {
-        (0..count)
-            .filter(|j| m.left(*j))
-            .map(|j| {
-                let left = (m.jobs[j].waiting.len() - m.next[j]) as u32;
-                startup_count.saturating_sub(m.jobs[j].begun).min(left)
-            })
-            .sum()
-    };
-    let startup_before = waiting_startup(&mapper);
     let mut batch_at = 0;
     let mut startup_at = 0;
     let mut steps = 0;
-    let mut startup_started = 0;
     while steps < most {
         while batch_at < count && !mapper.left(batch[batch_at]) {
             batch_at += 1;
@@ -373,8 +360,6 @@
         {
             chosen = first;
         }
-        let was_startup = in_startup(&mapper, chosen);
-        let starts_before = mapper.out.starts.len();
         let before = mapper.next[chosen];
         if mapper.jobs[chosen].gang {
             mapper.place_gang(chosen);
@@ -384,12 +369,8 @@
                 None => mapper.skip(chosen),
             }
         }
-        if was_startup && mapper.out.starts.len() > starts_before {
-            startup_started += 1;
-        }
         steps += mapper.next[chosen] - before;
     }
-    mapper.out.startup = startup_before.saturating_sub(startup_started);
     mapper.out
 }
 
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -59,7 +59,6 @@
     for (job, (mapped, late)) in jobs.iter().zip(&out.mapped) {
         text.push_str(&format!("{}: {late} of {mapped} late\n", job.id));
     }
-    text.push_str(&format!("startup queue {}\n", out.startup));
     text
 }
 
@@ -68,9 +67,8 @@
     let mut machines = vec![machine("busy", 20.0, 4.0), machine("booting", 5.0, 2.0)];
     let mut jobs = vec![job("late", 2.0, 3, 50.0), job("easy", 1.0, 1, 500.0)];
     insta::assert_snapshot!(show(&mut jobs, &mut machines), @r"
-    late: 0 of 3 late
+    late: 1 of 3 late
     easy: 0 of 1 late
-    startup queue 3
     ");
 }
 
@@ -91,12 +89,10 @@
     start urgent/0 on one
     urgent: 0 of 1 late
     new: 0 of 1 late
-    startup queue 1
     ---
     start new/0 on one
     urgent: 0 of 1 late
     new: 0 of 1 late
-    startup queue 0
     ");
 }
 
@@ -109,11 +105,7 @@
     other.zone = "b".into();
     let mut apart = vec![machine("a1", 0.0, 4.0), other.clone()];
     let waits = show(&mut [gang.clone()], &mut apart);
-    let mut close = vec![
-        machine("a1", 0.0, 4.0),
-        other,
-        machine("a2", 0.0, 4.0),
-    ];
+    let mut close = vec![machine("a1", 0.0, 4.0), other, machine("a2", 0.0, 4.0)];
     let starts = show(&mut [gang], &mut close);
     insta::assert_snapshot!(format!("{waits}---\n{starts}"));
 }
@@ -128,6 +120,11 @@
     picky.avoid.insert("sick".into());
     let mut far = machine("far", 0.0, 8.0);
     far.zone = "b".into();
-    let mut machines = vec![spot, machine("sick", 0.0, 8.0), machine("near", 0.0, 8.0), far];
+    let mut machines = vec![
+        spot,
+        machine("sick", 0.0, 8.0),
+        machine("near", 0.0, 8.0),
+        far,
+    ];
     insta::assert_snapshot!(show(&mut [picky], &mut machines));
 }
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -43,22 +43,11 @@
     /// Expected late among those mapped to the next event.
     pub late_next: u32,
     pub counted_next: u32,
-    /// The startup queue's length.
-    pub startup: u32,
     /// Machines that the late tasks would fill.
     pub wanted: u32,
 }
 
 impl Outlook {
-    pub fn add(&mut self, other: &Outlook) {
-        self.late_now += other.late_now;
-        self.counted_now += other.counted_now;
-        self.late_next += other.late_next;
-        self.counted_next += other.counted_next;
-        self.startup += other.startup;
-        self.wanted += other.wanted;
-    }
-
     pub fn rate_now(&self) -> f64 {
         f64::from(self.late_now) / f64::from(self.counted_now.max(1))
     }
@@ -149,7 +138,9 @@
         }
         for (startup, booting) in [(0, 0), (1, 0), (2, 0), (3, 0), (16, 0), (16, 5), (16, 9)] {
             let n = remedial(startup, booting, &knobs);
-            trace.push_str(&format!("startup {startup} booting {booting} -> rent {n}\n"));
+            trace.push_str(&format!(
+                "startup {startup} booting {booting} -> rent {n}\n"
+            ));
         }
         insta::assert_snapshot!(trace);
     }
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -141,7 +141,6 @@
             next = outlook.rate_next(),
             late = outlook.late_next,
             counted = outlook.counted_next,
-            startup = mapping.startup,
             wanted = outlook.wanted,
             k,
             ?verdict,
@@ -352,7 +351,11 @@
         format!("r-{mark}-{}", core.rent.rented_in_all)
     };
     let put = Op::set(hire_key(&name), &record);
-    match node.state.transact(&[guard(mark)], &[put.clone()]).await {
+    match node
+        .state
+        .transact(&[guard(mark)], std::slice::from_ref(&put))
+        .await
+    {
         Ok(ledger) => {
             if let Op::Set { set, data, .. } = put {
                 node.core().replica.put(&set, data, ledger);
@@ -501,7 +504,10 @@
             },
         ];
         let put = Op::set(machine_key(&name), &record);
-        if let Ok(ledger) = node.state.transact(&guards, &[put.clone()]).await
+        if let Ok(ledger) = node
+            .state
+            .transact(&guards, std::slice::from_ref(&put))
+            .await
             && let Op::Set { set, data, .. } = put
         {
             node.core().replica.put(&set, data, ledger);
@@ -633,7 +639,11 @@
         },
     ];
     let put = Op::set(machine_key(name), &record);
-    match node.state.transact(&guards, &[put.clone()]).await {
+    match node
+        .state
+        .transact(&guards, std::slice::from_ref(&put))
+        .await
+    {
         Ok(ledger) => {
             if let Op::Set { set, data, .. } = put {
                 node.core().replica.put(&set, data, ledger);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,7 +1,6 @@
 //! The settings file that the platform hands over: read, checked, named by field when wrong.
 
 use serde::Deserialize;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -30,8 +29,6 @@
 #[derive(Debug, Clone, Deserialize)]
 pub struct Settings {
     pub member: String,
-    #[serde(rename = "site")]
-    pub zone: String,
     pub api_addr: SocketAddr,
     pub mesh_addr: SocketAddr,
     #[serde(rename = "known")]
@@ -42,7 +39,6 @@
 
 #[derive(Debug, Clone, Deserialize)]
 pub struct Peer {
-    pub member: String,
     pub addr: SocketAddr,
 }
 
@@ -84,8 +80,6 @@
     #[serde(default)]
     pub class: String,
     pub within_s: Option<f64>,
-    pub share: Option<f64>,
-    pub times: Option<f64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -203,11 +197,6 @@
         Ok(())
     }
 
-    pub fn teams_by_name(&self) -> BTreeMap<String, Team> {
-        let teams = self.params.teams.iter();
-        teams.map(|t| (t.name.clone(), t.clone())).collect()
-    }
-
     pub fn lease(&self) -> Duration {
         Duration::from_secs_f64(self.params.workers.lease_s)
     }
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -191,10 +191,8 @@
             "m" => keep(&mut self.machines, key, name, data, mark),
             "h" => keep(&mut self.hires, key, name, data, mark),
             "n" => keep(&mut self.presence, key, name, data, mark),
-            "leader" => {
-                if self.leader.as_ref().is_none_or(|l| l.mark < mark) {
-                    self.leader = read(key, data).map(|record| Kept { record, mark });
-                }
+            "leader" if self.leader.as_ref().is_none_or(|l| l.mark < mark) => {
+                self.leader = read(key, data).map(|record| Kept { record, mark });
             }
             _ => {}
         }
@@ -334,15 +332,11 @@
             "h" => {
                 self.hires.remove(name);
             }
-            "n" => {
-                if self.presence.get(name).is_some_and(|p| p.mark < mark) {
-                    self.presence.remove(name);
-                }
+            "n" if self.presence.get(name).is_some_and(|p| p.mark < mark) => {
+                self.presence.remove(name);
             }
-            "leader" => {
-                if self.leader.as_ref().is_some_and(|l| l.mark < mark) {
-                    self.leader = None;
-                }
+            "leader" if self.leader.as_ref().is_some_and(|l| l.mark < mark) => {
+                self.leader = None;
             }
             _ => {}
         }
@@ -407,10 +401,7 @@
         replica.take(vec![change("r/p/job-1/0", page("vm-1"), 5)], 5);
         assert_eq!(replica.revision, 7);
         assert!(replica.on.contains_key("vm-2") && !replica.on.contains_key("vm-1"));
-        replica.take(
-            vec![change("r/p/job-1/0", serde_json::Value::Null, 8)],
-            8,
-        );
+        replica.take(vec![change("r/p/job-1/0", serde_json::Value::Null, 8)], 8);
         assert!(replica.on.is_empty() && replica.orphans.is_empty());
     }
 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -127,8 +127,7 @@
                         if cause == Some(Cause::Error) {
                             out.failed.push(id.clone());
                         }
-                        out.facts
-                            .insert(id, Entry::Waiting { last: task.attempt });
+                        out.facts.insert(id, Entry::Waiting { last: task.attempt });
                     }
                 }
             }
@@ -215,7 +214,8 @@
         if session < report.session {
             // The worker killed and forgot all tasks of the sessions before, and drops answers
             // to reports from them: it is gone and cannot begin any more.
-            out.facts.insert(id.clone(), Entry::Waiting { last: attempt });
+            out.facts
+                .insert(id.clone(), Entry::Waiting { last: attempt });
             continue;
         }
         if session > report.session {
@@ -228,7 +228,8 @@
             // An earlier owner's `run` may still be under way until the worker has seen our
             // token; from then on only we could start it, and we will not.
             if report.token >= token {
-                out.facts.insert(id.clone(), Entry::Waiting { last: attempt });
+                out.facts
+                    .insert(id.clone(), Entry::Waiting { last: attempt });
             }
             continue;
         }
