Sort by aims still attainable; count arrivals in k; return idle machines together

Cause: k never saw arrivals (always 1), the startup queue was read after the mapping had used it up, and jobs already late went ahead of those still in time. Ruled out: capacity at the start (the cloud granted all that was asked).

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -80,6 +80,8 @@
     pub fetch_gb_per_s: f64,
     /// Measured run times over the expected ones: above 1 is slow.
     pub slowness: f64,
+    /// CPUs kept for each GPU, so that work without GPUs does not make them idle.
+    pub cpus_per_gpu: f64,
 }
 
 impl MachineView {
@@ -88,7 +90,11 @@
         let mut room = Need::default();
         for chunk in &self.chunks {
             room.add(&chunk.room);
-            if need.fits(&room) {
+            let kept = match need.gpus {
+                0.0 => room.gpus * self.cpus_per_gpu,
+                _ => 0.0,
+            };
+            if need.fits(&room) && need.cpus + kept <= room.cpus + SLACK {
                 return Some(chunk.at);
             }
         }
@@ -116,6 +122,25 @@
     }
 }
 
+/// How many tasks of a job are in each zone.
+pub type Zones = BTreeMap<String, u32>;
+
+/// What a job's time is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum By {
+    Start,
+    End,
+}
+
+impl JobView {
+    fn is_late(&self, at: &Best) -> bool {
+        match self.by {
+            By::Start => at.start + at.fetch > self.due,
+            By::End => at.end > self.due,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct JobView {
     pub id: String,
@@ -129,13 +154,14 @@
     /// Most tasks that may be in one zone at a time.
     pub most_in_zone: u32,
     /// Tasks now on machines, by zone.
-    pub zones: BTreeMap<String, u32>,
+    pub zones: Zones,
     pub waiting: Vec<u32>,
     /// Tasks that were started or are done: they count towards the startup tasks.
     pub begun: u32,
     pub arrived: f64,
-    /// Seconds from now until it should be complete.
+    /// Seconds from now until its tasks should run or be complete, whichever `by` says.
     pub due: f64,
+    pub by: By,
     pub duration: f64,
     pub image: String,
     pub image_gb: f64,
@@ -158,28 +184,33 @@
     pub starts: Vec<Start>,
     /// Per job: tasks mapped, and of these the ones expected to be late.
     pub mapped: Vec<(u32, u32)>,
+    /// Machines that something was mapped to.
+    pub used: HashSet<String>,
 }
 
 struct Best {
     machine: usize,
     start: f64,
+    fetch: f64,
     end: f64,
 }
 
-fn best(job: &JobView, machines: &[MachineView]) -> Option<Best> {
+fn best(job: &JobView, zones: &Zones, machines: &[MachineView]) -> Option<Best> {
     let mut found: Option<Best> = None;
     for (index, machine) in machines.iter().enumerate() {
-        if !allowed(job, machine) {
+        if !allowed(job, zones, machine) {
             continue;
         }
         let Some(start) = machine.start_for(&job.need) else {
             continue;
         };
-        let end = start + run_time(job, machine);
+        let fetch = fetch_time(job, machine);
+        let end = start + fetch + job.duration * machine.slowness;
         if found.as_ref().is_none_or(|f| end < f.end - SLACK) {
             found = Some(Best {
                 machine: index,
                 start,
+                fetch,
                 end,
             });
         }
@@ -187,16 +218,15 @@
     found
 }
 
-fn run_time(job: &JobView, machine: &MachineView) -> f64 {
-    let fetch = if machine.images.contains(&job.image) {
+fn fetch_time(job: &JobView, machine: &MachineView) -> f64 {
+    if machine.images.contains(&job.image) {
         0.0
     } else {
         job.image_gb / machine.fetch_gb_per_s.max(0.001)
-    };
-    fetch + job.duration * machine.slowness
+    }
 }
 
-fn allowed(job: &JobView, machine: &MachineView) -> bool {
+fn allowed(job: &JobView, zones: &Zones, machine: &MachineView) -> bool {
     if machine.spot && !job.spot {
         return false;
     }
@@ -206,32 +236,42 @@
     if job.zone.as_ref().is_some_and(|z| *z != machine.zone) {
         return false;
     }
-    if job.one_zone && job.zones.iter().any(|(z, n)| *n > 0 && *z != machine.zone) {
+    if job.one_zone && zones.iter().any(|(z, n)| *n > 0 && *z != machine.zone) {
         return false;
     }
-    job.zones.get(&machine.zone).copied().unwrap_or(0) < job.most_in_zone
+    zones.get(&machine.zone).copied().unwrap_or(0) < job.most_in_zone
+}
+
+/// How far the mapping has come with a job.
+struct Progress {
+    next: usize,
+    begun: u32,
+    quota: u32,
+    zones: Zones,
 }
 
 struct Mapper<'a> {
-    jobs: &'a mut [JobView],
-    machines: &'a mut [MachineView],
-    next: Vec<usize>,
+    jobs: &'a [JobView],
+    progress: Vec<Progress>,
+    machines: Vec<MachineView>,
     out: Mapping,
 }
 
 impl Mapper<'_> {
     fn place(&mut self, job: usize, at: &Best) {
-        let view = &mut self.jobs[job];
-        let task = view.waiting[self.next[job]];
-        self.next[job] += 1;
-        view.quota -= 1;
-        view.begun += 1;
+        let view = &self.jobs[job];
+        let progress = &mut self.progress[job];
+        let task = view.waiting[progress.next];
+        progress.next += 1;
+        progress.quota -= 1;
+        progress.begun += 1;
         let machine = &mut self.machines[at.machine];
         machine.occupy(&view.need, at.start, at.end);
         machine.images.insert(view.image.clone());
-        let late = at.end > view.due;
+        let late = view.is_late(at);
+        self.out.used.insert(machine.name.clone());
         if at.start <= SLACK {
-            *view.zones.entry(machine.zone.clone()).or_default() += 1;
+            *progress.zones.entry(machine.zone.clone()).or_default() += 1;
             self.out.starts.push(Start {
                 job,
                 task,
@@ -249,7 +289,8 @@
     }
 
     fn left(&self, job: usize) -> bool {
-        self.next[job] < self.jobs[job].waiting.len() && self.jobs[job].quota > 0
+        let progress = &self.progress[job];
+        progress.next < self.jobs[job].waiting.len() && progress.quota > 0
     }
 
     /// A gang's tasks start together or not at all: each zone is tried where one zone is asked
@@ -257,13 +298,13 @@
     /// need is taken, so that smaller work does not keep them waiting for ever.
     fn place_gang(&mut self, job: usize) {
         let view = &self.jobs[job];
-        let size = view.waiting.len() - self.next[job];
-        if view.quota < size as u32 {
-            self.next[job] = view.waiting.len();
+        let size = view.waiting.len() - self.progress[job].next;
+        if self.progress[job].quota < size as u32 {
+            self.progress[job].next = view.waiting.len();
             return;
         }
         if size == 1 {
-            match best(view, self.machines) {
+            match best(view, &self.progress[job].zones, &self.machines) {
                 Some(at) => self.place(job, &at),
                 None => self.skip(job),
             }
@@ -281,16 +322,17 @@
         for zone in zones {
             let mut trial = view.clone();
             trial.zone = zone;
-            let mut machines = self.machines.to_vec();
+            let mut machines = self.machines.clone();
+            let mut zones = Zones::new();
             let mut places = Vec::with_capacity(size);
             for _ in 0..size {
-                let Some(at) = best(&trial, &machines) else {
+                let Some(at) = best(&trial, &zones, &machines) else {
                     break;
                 };
                 let machine = &mut machines[at.machine];
                 machine.occupy(&trial.need, at.start, at.end);
                 machine.images.insert(trial.image.clone());
-                *trial.zones.entry(machine.zone.clone()).or_default() += 1;
+                *zones.entry(machine.zone.clone()).or_default() += 1;
                 places.push(at);
             }
             let end = places.iter().map(|p| p.end).fold(0.0, f64::max);
@@ -312,19 +354,14 @@
 
     /// No machine can take it: all of it counts as late, and it waits.
     fn skip(&mut self, job: usize) {
-        let rest = (self.jobs[job].waiting.len() - self.next[job]) as u32;
+        let rest = (self.jobs[job].waiting.len() - self.progress[job].next) as u32;
         self.count(job, rest, true);
-        self.next[job] = self.jobs[job].waiting.len();
+        self.progress[job].next = self.jobs[job].waiting.len();
     }
 }
 
 /// Maps waiting tasks, at most so many. `startup_count` tasks of each job are startup tasks.
-pub fn map(
-    jobs: &mut [JobView],
-    machines: &mut [MachineView],
-    startup_count: u32,
-    most: usize,
-) -> Mapping {
+pub fn map(jobs: &[JobView], machines: &[MachineView], startup_count: u32, most: usize) -> Mapping {
     let mut batch: Vec<usize> = (0..jobs.len()).collect();
     batch.sort_by(|a, b| jobs[*a].due.total_cmp(&jobs[*b].due));
     let mut startup: Vec<usize> = (0..jobs.len()).collect();
@@ -332,14 +369,22 @@
     let count = jobs.len();
     let mut mapper = Mapper {
         jobs,
-        machines,
-        next: vec![0; count],
+        progress: jobs
+            .iter()
+            .map(|job| Progress {
+                next: 0,
+                begun: job.begun,
+                quota: job.quota,
+                zones: job.zones.clone(),
+            })
+            .collect(),
+        machines: machines.to_vec(),
         out: Mapping {
             mapped: vec![(0, 0); count],
             ..Mapping::default()
         },
     };
-    let in_startup = |m: &Mapper, j: usize| m.left(j) && m.jobs[j].begun < startup_count;
+    let in_startup = |m: &Mapper, j: usize| m.left(j) && m.progress[j].begun < startup_count;
     let mut batch_at = 0;
     let mut startup_at = 0;
     let mut steps = 0;
@@ -360,35 +405,37 @@
         {
             chosen = first;
         }
-        let before = mapper.next[chosen];
+        let before = mapper.progress[chosen].next;
         if mapper.jobs[chosen].gang {
             mapper.place_gang(chosen);
         } else {
-            match best(&mapper.jobs[chosen], mapper.machines) {
+            let zones = &mapper.progress[chosen].zones;
+            match best(&mapper.jobs[chosen], zones, &mapper.machines) {
                 Some(at) => mapper.place(chosen, &at),
                 None => mapper.skip(chosen),
             }
         }
-        steps += mapper.next[chosen] - before;
+        steps += mapper.progress[chosen].next - before;
     }
     mapper.out
 }
 
 /// The paper's guard: a startup task goes ahead only if the batch head would still be in time.
 fn startup_may_pass(mapper: &Mapper, first: usize, head: usize) -> bool {
+    let (first_zones, head_zones) = (&mapper.progress[first].zones, &mapper.progress[head].zones);
     let (first, head) = (&mapper.jobs[first], &mapper.jobs[head]);
-    let Some(at) = best(first, mapper.machines) else {
+    let Some(at) = best(first, first_zones, &mapper.machines) else {
         return true;
     };
-    let Some(alone) = best(head, mapper.machines) else {
+    let Some(alone) = best(head, head_zones, &mapper.machines) else {
         return true;
     };
     if alone.machine != at.machine {
-        return alone.end <= head.due;
+        return !head.is_late(&alone);
     }
-    let mut machines = mapper.machines.to_vec();
+    let mut machines = mapper.machines.clone();
     machines[at.machine].occupy(&first.need, at.start, at.end);
-    best(head, &machines).is_some_and(|after| after.end <= head.due)
+    best(head, head_zones, &machines).is_some_and(|after| !head.is_late(&after))
 }
 
 #[cfg(test)]
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -65,12 +65,10 @@
         let mut views = views::build(node, &core, now, now_ms);
         let startup = node.policy.knobs.startup_count;
         if core.rent.period_due(node, now) {
-            let mut jobs = views.jobs.clone();
-            let mut machines = views.machines.clone();
-            let mapping = map(&mut jobs, &mut machines, startup, usize::MAX);
-            renting::service::event(node, &mut core, &views, &mapping, now, now_ms);
+            let mapping = map(&views.jobs, &views.machines, startup, usize::MAX);
+            renting::service::event(node, &mut core, &views, &mapping, now_ms);
         }
-        let mapping = map(&mut views.jobs, &mut views.machines, startup, MOST_IN_TICK);
+        let mapping = map(&views.jobs, &views.machines, startup, MOST_IN_TICK);
         renting::service::remedy(node, &mut core, &views, &mapping, now);
         plan(&mut core, &mut views, &mapping);
     }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -17,6 +17,7 @@
         images: HashSet::new(),
         fetch_gb_per_s: 1.0,
         slowness: 1.0,
+        cpus_per_gpu: 0.0,
     }
 }
 
@@ -39,6 +40,7 @@
         begun: 0,
         arrived: 0.0,
         due,
+        by: By::End,
         duration: 30.0,
         image: "i".into(),
         image_gb: 1.0,
@@ -47,7 +49,7 @@
     }
 }
 
-fn show(jobs: &mut [JobView], machines: &mut [MachineView]) -> String {
+fn show(jobs: &[JobView], machines: &[MachineView]) -> String {
     let out = map(jobs, machines, 2, 1000);
     let mut text = String::new();
     for s in &out.starts {
@@ -64,9 +66,9 @@
 
 #[test]
 fn earliest_finish_counts_queue_fetch_and_boot() {
-    let mut machines = vec![machine("busy", 20.0, 4.0), machine("booting", 5.0, 2.0)];
-    let mut jobs = vec![job("late", 2.0, 3, 50.0), job("easy", 1.0, 1, 500.0)];
-    insta::assert_snapshot!(show(&mut jobs, &mut machines), @r"
+    let machines = vec![machine("busy", 20.0, 4.0), machine("booting", 5.0, 2.0)];
+    let jobs = vec![job("late", 2.0, 3, 50.0), job("easy", 1.0, 1, 500.0)];
+    insta::assert_snapshot!(show(&jobs, &machines), @r"
     late: 1 of 3 late
     easy: 0 of 1 late
     ");
@@ -78,13 +80,13 @@
     let mut urgent = job("urgent", 4.0, 1, 40.0);
     urgent.begun = 2;
     let fresh = job("new", 4.0, 1, 400.0);
-    let mut machines = vec![machine("one", 0.0, 4.0)];
-    let mut jobs = vec![urgent.clone(), fresh.clone()];
-    let guarded = show(&mut jobs, &mut machines);
+    let machines = vec![machine("one", 0.0, 4.0)];
+    let jobs = vec![urgent.clone(), fresh.clone()];
+    let guarded = show(&jobs, &machines);
     urgent.due = 100.0;
-    let mut machines = vec![machine("one", 0.0, 4.0)];
-    let mut jobs = vec![urgent, fresh];
-    let passing = show(&mut jobs, &mut machines);
+    let machines = vec![machine("one", 0.0, 4.0)];
+    let jobs = vec![urgent, fresh];
+    let passing = show(&jobs, &machines);
     insta::assert_snapshot!(format!("{guarded}---\n{passing}"), @r"
     start urgent/0 on one
     urgent: 0 of 1 late
@@ -103,10 +105,10 @@
     gang.one_zone = true;
     let mut other = machine("b1", 0.0, 4.0);
     other.zone = "b".into();
-    let mut apart = vec![machine("a1", 0.0, 4.0), other.clone()];
-    let waits = show(&mut [gang.clone()], &mut apart);
-    let mut close = vec![machine("a1", 0.0, 4.0), other, machine("a2", 0.0, 4.0)];
-    let starts = show(&mut [gang], &mut close);
+    let apart = vec![machine("a1", 0.0, 4.0), other.clone()];
+    let waits = show(&[gang.clone()], &apart);
+    let close = vec![machine("a1", 0.0, 4.0), other, machine("a2", 0.0, 4.0)];
+    let starts = show(&[gang], &close);
     insta::assert_snapshot!(format!("{waits}---\n{starts}"));
 }
 
@@ -120,11 +122,11 @@
     picky.avoid.insert("sick".into());
     let mut far = machine("far", 0.0, 8.0);
     far.zone = "b".into();
-    let mut machines = vec![
+    let machines = vec![
         spot,
         machine("sick", 0.0, 8.0),
         machine("near", 0.0, 8.0),
         far,
     ];
-    insta::assert_snapshot!(show(&mut [picky], &mut machines));
+    insta::assert_snapshot!(show(&[picky], &machines));
 }
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -1,6 +1,6 @@
 //! From records and reports to what the mapping works on.
 
-use super::{Chunk, JobView, MachineView, Need};
+use super::{By, Chunk, JobView, MachineView, Need};
 use crate::jobs::{Entry, JobSpec, Shape, Urgency};
 use crate::node::{Core, Node, age_s};
 use crate::workers::{TaskId, TaskState};
@@ -10,6 +10,9 @@
 /// Most waiting tasks of one job that are looked at in one mapping.
 const MOST_WAITING: usize = 2000;
 
+/// Part of a machine's CPUs that stays free for its idle GPUs.
+const KEPT_FOR_GPUS: f64 = 0.8;
+
 pub struct Views {
     pub jobs: Vec<JobView>,
     pub machines: Vec<MachineView>,
@@ -41,8 +44,7 @@
     }
 }
 
-/// Kinds that a task may run on, cheapest first. A task without GPUs does not take a machine
-/// with some where one without would do: the GPUs would idle at many times the price.
+/// Kinds that a task may run on, cheapest first.
 pub fn kinds_for(core: &Core, spec: &JobSpec) -> Vec<String> {
     let mut kinds: Vec<_> = core
         .kinds
@@ -52,37 +54,42 @@
         .filter(|k| spec.zone.as_ref().is_none_or(|z| k.zones.contains(z)))
         .collect();
     kinds.sort_by(|a, b| a.price.total_cmp(&b.price));
-    if spec.gpus == 0.0 && kinds.iter().any(|k| k.gpus == 0.0) {
-        kinds.retain(|k| k.gpus == 0.0);
-    }
     kinds.into_iter().map(|k| k.name.clone()).collect()
 }
 
-/// Seconds after arrival by which a job should be complete.
-pub fn due_after(node: &Node, core: &Core, spec: &JobSpec) -> f64 {
+/// A job's time, in seconds after its arrival: the earliest of the aims on its class, and its own
+/// deadline, that it can still keep. One that has missed them all counts as undated: it no longer
+/// goes ahead of work that can still be in time.
+pub fn due_after(node: &Node, core: &Core, spec: &JobSpec, age: f64) -> (f64, By) {
+    let expected = core.duration(spec);
+    let mut aims: Vec<(f64, By)> = Vec::new();
     if let Some(due) = spec.deadline_s {
-        return due;
+        aims.push((due, By::End));
     }
-    let duration = core.duration(spec);
-    let mut due = f64::INFINITY;
     for objective in &node.settings.params.objectives {
         if objective.class != spec.class {
             continue;
         }
-        let Some(within) = objective.within_s else {
-            continue;
-        };
-        due = due.min(match objective.kind.as_str() {
-            "wait" => within + duration,
-            _ => within,
-        });
-    }
-    if due.is_finite() {
-        due
-    } else {
-        // Undated and nothing said of its class: started by arrival plus so many estimates.
-        duration * (node.policy.knobs.start_by + 1.0)
+        match (objective.kind.as_str(), objective.within_s, objective.times) {
+            ("wait", Some(within), _) => aims.push((within, By::Start)),
+            ("finished", Some(within), _) => aims.push((within, By::End)),
+            ("deadline", _, Some(times)) => {
+                if let Some(due) = spec.deadline_s {
+                    aims.push((due * times, By::End));
+                }
+            }
+            _ => {}
+        }
     }
+    let can_keep = |(due, by): &(f64, By)| match by {
+        By::Start => age <= *due,
+        By::End => age + expected <= *due,
+    };
+    aims.into_iter()
+        .filter(can_keep)
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        // Undated: started by arrival plus so many estimates.
+        .unwrap_or((expected * node.policy.knobs.start_by, By::Start))
 }
 
 /// Tasks recorded, about to be recorded, or reported on a machine.
@@ -216,6 +223,8 @@
         return None;
     }
     let quota = quota_left(spec, rooms);
+    let age = age_s(job.record.accepted_ms, now_ms);
+    let (due, by) = due_after(node, core, spec, age);
     let failed_on = core.failures.get(&spec.id).map(|f| f.machines.clone());
     Some(JobView {
         id: spec.id.clone(),
@@ -229,8 +238,9 @@
         zones,
         waiting,
         begun: done + placed,
-        arrived: -age_s(job.record.accepted_ms, now_ms),
-        due: due_after(node, core, spec) - age_s(job.record.accepted_ms, now_ms),
+        arrived: -age,
+        due: due - age,
+        by,
         duration: core.duration(spec),
         image: spec.image.clone(),
         image_gb: spec.image_gb,
@@ -334,6 +344,11 @@
             images,
             fetch_gb_per_s: kind.fetch_gb_per_s,
             slowness: live.map_or(1.0, |l| l.slowness),
+            cpus_per_gpu: if kind.gpus > 0.0 {
+                kind.cpus / kind.gpus * KEPT_FOR_GPUS
+            } else {
+                0.0
+            },
         });
     }
     views
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -3,6 +3,7 @@
 pub mod service;
 
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 
 /// The open values of the design, which operators may set.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -93,16 +94,20 @@
     pub tasks: u32,
 }
 
-/// The machine to stop placing on: least remaining hold, and it is over; among equals the least
-/// busy.
-pub fn to_return(held: &[Held]) -> Option<&Held> {
-    held.iter()
-        .filter(|h| h.remaining_hold_s <= 0.0)
-        .min_by(|a, b| {
-            (a.tasks, a.remaining_hold_s)
-                .partial_cmp(&(b.tasks, b.remaining_hold_s))
-                .unwrap_or(std::cmp::Ordering::Equal)
-        })
+/// The machines to stop placing on. The paper's one: least remaining hold, and it is over; among
+/// equals the least busy. With it go all whose hold is over, that are idle, and that the mapping
+/// to the next event has no use for: one a period would pay for a fleet that nobody needs.
+pub fn to_return<'a>(held: &'a [Held], used: &HashSet<String>) -> Vec<&'a Held> {
+    let over = || held.iter().filter(|h| h.remaining_hold_s <= 0.0);
+    let first = over().min_by(|a, b| {
+        (a.tasks, a.remaining_hold_s)
+            .partial_cmp(&(b.tasks, b.remaining_hold_s))
+            .unwrap_or(std::cmp::Ordering::Equal)
+    });
+    let idle = over().filter(|h| h.tasks == 0 && !used.contains(&h.name));
+    let mut all: Vec<&Held> = first.into_iter().chain(idle).collect();
+    all.dedup_by(|a, b| a.name == b.name);
+    all
 }
 
 #[cfg(test)]
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -4,7 +4,7 @@
 use super::{Held, Knobs, Outlook, Verdict, periodic, remedial, to_return};
 use crate::cloud::{CloudError, MOST_RELEASED, Rental};
 use crate::node::{Core, Node, age_s, wall_ms};
-use crate::placement::views::{Views, room_of};
+use crate::placement::views::{Views, kinds_for, room_of};
 use crate::placement::{Mapping, Need};
 use crate::state::replica::{HireRecord, MachineRecord};
 use crate::state::{Guard, LEADER_KEY, Op, hire_key, machine_key};
@@ -26,7 +26,6 @@
 pub struct Tally {
     pub finished: u32,
     pub finished_late: u32,
-    pub arrived: u32,
 }
 
 pub struct RentState {
@@ -45,6 +44,9 @@
     pub rented_in_all: u32,
 }
 
+/// Largest k: beyond it the machines that late tasks would fill are the limit anyway.
+const MOST_K: f64 = 20.0;
+
 impl RentState {
     pub fn new(now: Instant) -> Self {
         Self {
@@ -118,22 +120,16 @@
 }
 
 /// A period's event: rent, return or keep, per kind of machine.
-pub fn event(
-    node: &Node,
-    core: &mut Core,
-    views: &Views,
-    mapping: &Mapping,
-    now: Instant,
-    now_ms: u64,
-) {
+pub fn event(node: &Node, core: &mut Core, views: &Views, mapping: &Mapping, now_ms: u64) {
     let knobs = node.policy.knobs;
     let pools = outlooks(core, views, mapping);
     for (kind, outlook) in &pools {
         let tally = core.rent.tally.remove(kind).unwrap_or_default();
+        let arrived = arrived(core, kind, knobs.period_s, now_ms);
         let flow = core.rent.flow.entry(kind.clone()).or_default();
-        flow.0 = flow.0 * 0.7 + f64::from(tally.arrived) * 0.3;
+        flow.0 = flow.0 * 0.7 + f64::from(arrived) * 0.3;
         flow.1 = flow.1 * 0.7 + f64::from(tally.finished) * 0.3;
-        let k = (flow.0 / flow.1.max(1.0)).clamp(1.0, 4.0);
+        let k = (flow.0 / flow.1.max(1.0)).clamp(1.0, MOST_K);
         let verdict = periodic(outlook, &knobs, k);
         tracing::info!(
             kind,
@@ -155,8 +151,8 @@
                 wish(core, views, mapping, kind, count);
             }
             Verdict::Return => {
-                let held = held(node, core, kind, &knobs, now_ms);
-                if let Some(machine) = to_return(&held) {
+                let held = held(core, kind, &knobs, now_ms);
+                for machine in to_return(&held, &mapping.used) {
                     tracing::info!(machine = machine.name, tasks = machine.tasks, "returning");
                     core.rent.to_return.push(machine.name.clone());
                 }
@@ -164,7 +160,16 @@
             Verdict::Keep => {}
         }
     }
-    let _ = now;
+}
+
+/// Tasks of a kind's jobs that came within the last period.
+fn arrived(core: &Core, kind: &str, period_s: f64, now_ms: u64) -> u32 {
+    let jobs = core.replica.jobs.values();
+    jobs.map(|job| &job.record)
+        .filter(|r| !r.cancelled && age_s(r.accepted_ms, now_ms) < period_s)
+        .filter(|r| kinds_for(core, &r.spec).first().is_some_and(|k| k == kind))
+        .map(|r| r.spec.tasks)
+        .sum()
 }
 
 /// Between events: rent by the startup queue's length.
@@ -229,8 +234,7 @@
     });
 }
 
-fn held(node: &Node, core: &Core, kind: &str, knobs: &Knobs, now_ms: u64) -> Vec<Held> {
-    let _ = node;
+fn held(core: &Core, kind: &str, knobs: &Knobs, now_ms: u64) -> Vec<Held> {
     let machines = core.replica.machines.iter();
     machines
         .filter(|(name, m)| {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -80,6 +80,7 @@
     #[serde(default)]
     pub class: String,
     pub within_s: Option<f64>,
+    pub times: Option<f64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
