Count a machine's hold from its last use; hold the first event at the first job

Cause: after the last task every machine stayed until 600 s after its rental, and the first event came before any job. With billing by the second nothing is paid ahead but the first minute, so the hold is renewed by use.

--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -64,7 +64,9 @@
         clear_gone(&mut core);
         let mut views = views::build(node, &core, now, now_ms);
         let startup = node.policy.knobs.startup_count;
-        if core.rent.period_due(node, now) {
+        // The first event waits for the first job, and is then at once.
+        let any = !core.replica.jobs.is_empty() || !core.replica.machines.is_empty();
+        if any && core.rent.period_due(node, now) {
             let mapping = map(&views.jobs, &views.machines, startup, usize::MAX);
             renting::service::event(node, &mut core, &views, &mapping, now_ms);
         }
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -28,7 +28,7 @@
             theta: 10.0,
             k: 1.0,
             period_s: 10.0,
-            hold_s: 600.0,
+            hold_s: 45.0,
             startup_count: 2,
             start_by: 10.0,
         }
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -240,14 +240,17 @@
         .filter(|(name, m)| {
             m.record.kind == kind
                 && !m.record.returning
-                && core.live.contains_key(*name)
                 && !core.rent.closing.contains_key(*name)
                 && !core.rent.to_return.contains(name)
         })
-        .map(|(name, m)| Held {
-            name: name.clone(),
-            remaining_hold_s: knobs.hold_s - age_s(m.record.hired_ms, now_ms),
-            tasks: core.replica.on.get(name).map_or(0, |on| on.len() as u32),
+        .filter_map(|(name, m)| {
+            let unused = core.live.get(name)?.used_at.elapsed().as_secs_f64();
+            let age = age_s(m.record.hired_ms, now_ms);
+            Some(Held {
+                name: name.clone(),
+                remaining_hold_s: knobs.hold_s - unused.min(age),
+                tasks: core.replica.on.get(name).map_or(0, |on| on.len() as u32),
+            })
         })
         .collect()
 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -31,6 +31,8 @@
     pub failed_jobs: HashSet<String>,
     /// Measured over expected run time, smoothed.
     pub slowness: f64,
+    /// When it last had a task: its hold begins anew then.
+    pub used_at: Instant,
     /// Images it should have, most recently used last, with their sizes.
     pub images: Vec<(String, f64)>,
 }
@@ -46,6 +48,7 @@
             seen_since: HashMap::new(),
             failed_jobs: HashSet::new(),
             slowness: 1.0,
+            used_at: now,
             images: Vec::new(),
         }
     }
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -119,6 +119,9 @@
         live.sent.clear();
     }
     live.heard = now;
+    if !report.tasks.is_empty() || core.replica.on.contains_key(&name) {
+        live.used_at = now;
+    }
     live.taken_at = report
         .notice_s
         .map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
