Part teams and machines among the controllers

Each controller places its teams' tasks on its own machines, and publishes its outlook; the leader sums, rents, returns and parts. What packing loses by the parting is about the noise; a crash now stops a third of the placing.

--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -175,9 +175,7 @@
         .await
     {
         Ok(ledger) => {
-            if let Op::Set { set, data, .. } = put {
-                node.core().replica.put(&set, data, ledger);
-            }
+            node.core().apply(vec![put], ledger);
             node.stirred.notify_one();
             json(StatusCode::CREATED, &told(&id, Stage::Queued))
         }
@@ -264,9 +262,7 @@
             .await
         {
             Ok(ledger) => {
-                if let Op::Set { set, data, .. } = put {
-                    node.core().replica.put(&set, data, ledger);
-                }
+                node.core().apply(vec![put], ledger);
                 node.stirred.notify_one();
                 return json(StatusCode::OK, &told(id, Stage::Cancelled));
             }
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -4,7 +4,7 @@
 use super::{Entry, Final, Page};
 use crate::node::{Core, Node};
 use crate::state::budget::Need;
-use crate::state::{Guard, Op, TxnError, final_key, job_key, machine_key, page_key};
+use crate::state::{Guard, Op, SHARES_KEY, TxnError, final_key, job_key, machine_key, page_key};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -19,14 +19,16 @@
     bytes: usize,
 }
 
-pub async fn write(node: &Arc<Node>, leader_mark: u64) {
-    let fine = end_jobs(node).await && write_pages(node, leader_mark).await;
+pub async fn write(node: &Arc<Node>, leads: bool) {
+    let fine = end_jobs(node).await && write_pages(node).await;
     if !fine {
         // Something failed or went unanswered: what stands is read, never assumed.
         node.sync().await;
     }
     settle(&mut node.core());
-    drop_orphans(node).await;
+    if leads {
+        drop_orphans(node).await;
+    }
 }
 
 /// Moves jobs that are over to their final key, with their pages.
@@ -36,6 +38,7 @@
         core.replica
             .jobs
             .iter()
+            .filter(|(id, _)| core.owns_job(&node.me, id))
             .filter_map(|(id, job)| {
                 let last = over(&core, id, job)?;
                 Some((
@@ -94,8 +97,7 @@
     all.then_some(Final::Done)
 }
 
-async fn write_pages(node: &Arc<Node>, leader_mark: u64) -> bool {
-    let _ = leader_mark;
+async fn write_pages(node: &Arc<Node>) -> bool {
     let mut dirty = dirty_pages(&node.core());
     let ops = node.settings.params.state.txn_ops;
     let mut fine = true;
@@ -186,6 +188,14 @@
                 mark: job.page_mark(*number),
             },
         ];
+        if !machines.is_empty() {
+            // The team may have gone to another controller, which places it from then on.
+            let mark = core.replica.shares.as_ref().map_or(0, |s| s.mark);
+            guards.push(Guard {
+                k: SHARES_KEY.into(),
+                mark,
+            });
+        }
         for machine in machines {
             let mark = core.replica.machines.get(&machine).map_or(0, |m| m.mark);
             guards.push(Guard {
--- a/src/main.rs
+++ b/src/main.rs
@@ -98,7 +98,7 @@
         let api_listener = bind(settings.api_addr).await?;
         let mesh_listener = bind(settings.mesh_addr).await?;
         let node = Arc::new(node::Node::new(settings, policy::Policy::default()));
-        tracing::info!(incarnation = node.incarnation, "starting");
+        tracing::info!(incarnation = node.me.incarnation, "starting");
         tokio::spawn(state::follow::run(node.clone()));
         tokio::spawn(state::follow::serve_syncs(node.clone()));
         tokio::spawn(membership::run(node.clone()));
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,9 +1,17 @@
 //! Who is there and who leads: a leased presence key for each node, a leased key for the leader,
 //! and the takeover of every machine by a new leader.
 
+pub mod shares;
+
 use crate::node::Node;
+use crate::placement::Need;
+use crate::placement::views::{kinds_for, room_of};
 use crate::state::replica::{LeaderRecord, MachineRecord, PresenceRecord};
-use crate::state::{Guard, LEADER_KEY, Op, TxnError, client::ReadError, machine_key, presence_key};
+use crate::state::{
+    Guard, LEADER_KEY, Op, SHARES_KEY, TxnError, client::ReadError, machine_key, presence_key,
+};
+use shares::{Member, Shared, Shares, part_machines, part_teams};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -26,22 +34,20 @@
     };
     if let Some(lease) = lease
         && stands_back
-        && lead_mark(node).is_some()
     {
-        // Ends the leader key with the lease; presence begins anew with the next step.
+        // Its teams and machines, and the lead if it has it, go to others with the lease.
         if node.state.end_lease(lease).await.is_ok() {
             node.core().lease = None;
         }
         return;
     }
     match lease {
+        None if stands_back => end_standing_back(node),
         None => join(node, ttl).await,
         Some(lease) => match node.state.extend_lease(lease).await {
             Err(ReadError::Gone) => {
                 tracing::info!("the presence lease is over");
-                let mut core = node.core();
-                core.lease = None;
-                core.leading = None;
+                node.core().lease = None;
             }
             Ok(()) => campaign(node, lease).await,
             Err(_) => {}
@@ -50,14 +56,14 @@
 }
 
 async fn join(node: &Arc<Node>, ttl: Duration) {
-    let me = &node.settings.member;
+    let me = &node.me.name;
     let old = {
         let core = node.core();
         let old = core.replica.presence.get(me);
         old.map(|p| (p.record.incarnation, p.record.lease))
     };
     if let Some((incarnation, lease)) = old
-        && incarnation != node.incarnation
+        && incarnation != node.me.incarnation
     {
         // A process of the same name that ended: its lease would only keep others waiting.
         let _ = node.state.end_lease(lease).await;
@@ -66,7 +72,7 @@
         return;
     };
     let record = PresenceRecord {
-        incarnation: node.incarnation,
+        incarnation: node.me.incarnation,
         lease,
     };
     let put = leased(presence_key(me), &record, lease);
@@ -90,20 +96,12 @@
 }
 
 async fn campaign(node: &Arc<Node>, lease: u64) {
-    let now = Instant::now();
-    let vacant = {
-        let mut core = node.core();
-        if core.stand_back_until.is_some_and(|until| until <= now) {
-            core.stand_back_until = None;
-        }
-        core.replica.leader.is_none() && core.stand_back_until.is_none()
-    };
-    if !vacant {
+    if node.core().replica.leader.is_some() {
         return;
     }
     let record = LeaderRecord {
-        member: node.settings.member.clone(),
-        incarnation: node.incarnation,
+        member: node.me.name.clone(),
+        incarnation: node.me.incarnation,
         lease,
     };
     let guard = Guard {
@@ -123,49 +121,133 @@
 pub fn lead_mark(node: &Node) -> Option<u64> {
     let core = node.core();
     let leader = core.replica.leader.as_ref()?;
-    let ours = leader.record.member == node.settings.member
-        && leader.record.incarnation == node.incarnation;
+    let ours =
+        leader.record.member == node.me.name && leader.record.incarnation == node.me.incarnation;
     ours.then_some(leader.mark)
 }
 
-/// Makes every machine this node's: their keys get new marks, so that whatever an earlier owner
-/// still sends fails on its guards, and workers drop its answers. Returns false to be called
-/// again.
-pub async fn take_over(node: &Arc<Node>, mark: u64) -> bool {
-    let batch: Vec<(String, MachineRecord, u64)> = {
-        let core = node.core();
-        let most = (node.settings.params.state.txn_ops).min(20);
-        let theirs = |r: &MachineRecord| {
-            r.owner != node.settings.member || r.incarnation != node.incarnation
+fn end_standing_back(node: &Node) {
+    let mut core = node.core();
+    if core
+        .stand_back_until
+        .is_some_and(|until| until <= Instant::now())
+    {
+        core.stand_back_until = None;
+    }
+}
+
+/// What the leader has to change so that everything belongs to someone who is there.
+struct Change {
+    shares: Option<(Shares, u64)>,
+    machines: Vec<(String, MachineRecord, u64)>,
+}
+
+fn wanted_change(node: &Node, settled: bool) -> Change {
+    let core = node.core();
+    let replica = &core.replica;
+    let present = replica.present();
+    let mut load: BTreeMap<String, f64> = BTreeMap::new();
+    let mut work: Vec<(String, String, f64)> = Vec::new();
+    for job in replica.jobs.values().filter(|j| !j.record.cancelled) {
+        let spec = &job.record.spec;
+        let pool = kinds_for(&core, spec).into_iter().next();
+        let Some(kind) = pool.and_then(|k| core.kind(&k)) else {
+            continue;
         };
-        let machines = core.replica.machines.iter();
-        machines
-            .filter(|(_, m)| theirs(&m.record))
-            .take(most)
-            .map(|(name, m)| (name.clone(), m.record.clone(), m.mark))
-            .collect()
-    };
-    if batch.is_empty() {
-        // All fences stand: what is read from now on is the last word of the owners before.
-        return node.sync().await && lead_mark(node) == Some(mark);
+        let left = f64::from(spec.tasks - job.done.min(spec.tasks));
+        let machines = Need::share(&spec.need(), &room_of(kind)) * left;
+        *load.entry(spec.team.clone()).or_default() += machines;
+        work.push((spec.team.clone(), kind.name.clone(), machines));
+    }
+    let teams = node.settings.params.teams.iter();
+    let teams: Vec<String> = teams.map(|t| t.name.clone()).collect();
+    let old = replica.shares.as_ref();
+    let none = Shares::default();
+    let shares = part_teams(&teams, &present, old.map_or(&none, |s| &s.record), &load);
+    let mut demand: BTreeMap<(Member, String), f64> = BTreeMap::new();
+    for (team, kind, machines) in work {
+        if let Some(member) = shares.teams.get(&team) {
+            *demand.entry((member.clone(), kind)).or_default() += machines;
+        }
     }
+    let machines: Vec<Shared> = replica
+        .machines
+        .iter()
+        .map(|(name, m)| Shared {
+            name: name.clone(),
+            kind: m.record.kind.clone(),
+            owner: m.record.owner.clone(),
+            tasks: replica.on.get(name).map_or(0, |on| on.len() as u32),
+        })
+        .collect();
+    let most = if settled { MOST_MOVED } else { 0 };
+    let moves = part_machines(&machines, &present, &demand, most);
+    let machines = moves
+        .into_iter()
+        .filter_map(|(name, owner)| {
+            let kept = replica.machines.get(&name)?;
+            let record = MachineRecord {
+                owner,
+                ..kept.record.clone()
+            };
+            Some((name, record, kept.mark))
+        })
+        .take(node.settings.params.state.txn_ops.min(20))
+        .collect();
+    let changed = old.is_none_or(|old| old.record != shares);
+    Change {
+        shares: changed.then(|| (shares, old.map_or(0, |o| o.mark))),
+        machines,
+    }
+}
+
+/// Machines that change hands at a time while all controllers are there.
+const MOST_MOVED: usize = 3;
+/// How often they do.
+const SHARE_EVERY: Duration = Duration::from_secs(3);
+
+/// The leader's duty: everything belongs to a controller that is there, and machines follow the
+/// work. A machine whose key changes hands has a new mark, so that whatever its old owner still
+/// sends fails on its guards, and the worker drops the old owner's answers.
+pub async fn share_out(node: &Arc<Node>, mark: u64) {
+    let settled = {
+        let mut core = node.core();
+        let due = core.shared_at.is_none_or(|at| at.elapsed() >= SHARE_EVERY);
+        if due {
+            core.shared_at = Some(Instant::now());
+        }
+        due
+    };
+    let change = wanted_change(node, settled);
     let mut guards = vec![Guard {
         k: LEADER_KEY.into(),
         mark,
     }];
     let mut ops = Vec::new();
-    for (name, mut record, mark) in batch {
-        record.owner = node.settings.member.clone();
-        record.incarnation = node.incarnation;
+    if let Some((shares, mark)) = &change.shares {
         guards.push(Guard {
-            k: machine_key(&name),
-            mark,
+            k: SHARES_KEY.into(),
+            mark: *mark,
         });
-        ops.push(Op::set(machine_key(&name), &record));
+        ops.push(Op::set(SHARES_KEY.into(), shares));
+        let teams = serde_json::to_string(&shares.teams).unwrap_or_default();
+        tracing::info!(teams, "parting the teams");
     }
-    if node.state.transact(&guards, &ops).await.is_err() {
-        tokio::time::sleep(Duration::from_millis(150)).await;
+    for (name, record, mark) in &change.machines {
+        guards.push(Guard {
+            k: machine_key(name),
+            mark: *mark,
+        });
+        ops.push(Op::set(machine_key(name), record));
+        tracing::info!(machine = name, to = record.owner.name, "changes hands");
+    }
+    if ops.is_empty() {
+        return;
+    }
+    match node.state.transact(&guards, &ops).await {
+        Ok(ledger) => node.core().apply(ops, ledger),
+        Err(_) => {
+            node.sync().await;
+        }
     }
-    node.sync().await;
-    false
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,10 +2,11 @@
 
 use crate::cloud::{CloudClient, Kind};
 use crate::jobs::{Entry, JobSpec};
+use crate::membership::shares::Member;
 use crate::policy::Policy;
 use crate::renting::service::RentState;
 use crate::settings::Settings;
-use crate::state::{Replica, StateClient};
+use crate::state::{Op, Replica, StateClient};
 use crate::workers::{Live, Stops, TaskId};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard};
@@ -72,9 +73,12 @@
     pub proof: Option<Instant>,
     pub loaded: bool,
     pub lease: Option<u64>,
-    /// Mark of the leader key under which this node leads and has taken over every machine.
+    /// Mark of the leader key under which this node did the leader's duties last.
     pub leading: Option<u64>,
-    pub led_since: Instant,
+    /// When machines changed hands last.
+    pub shared_at: Option<Instant>,
+    /// Since when this node has owned each of its machines.
+    pub owned_since: HashMap<String, Instant>,
     pub overlay: Overlay,
     pub live: HashMap<String, Live>,
     pub stops: Stops,
@@ -89,7 +93,7 @@
 pub struct Node {
     pub settings: Settings,
     pub policy: Policy,
-    pub incarnation: u64,
+    pub me: Member,
     pub state: StateClient,
     pub cloud: CloudClient,
     core: Mutex<Core>,
@@ -105,7 +109,10 @@
         let now = Instant::now();
         let write_share = settings.params.state.write_rps / f64::from(settings.params.size);
         Self {
-            incarnation: rand::random::<u64>() >> 12,
+            me: Member {
+                name: settings.member.clone(),
+                incarnation: rand::random::<u64>() >> 12,
+            },
             state: StateClient::new(settings.endpoints.state, write_share),
             cloud: CloudClient::new(settings.endpoints.cloud),
             core: Mutex::new(Core {
@@ -114,7 +121,8 @@
                 loaded: false,
                 lease: None,
                 leading: None,
-                led_since: now,
+                shared_at: None,
+                owned_since: HashMap::new(),
                 overlay: Overlay::new(),
                 live: HashMap::new(),
                 stops: Stops::new(),
@@ -187,12 +195,35 @@
         (spec.estimate_s * factor).max(0.5)
     }
 
-    /// Starts over as leader or follower: plans and observations of another term are void.
-    pub fn clear_term(&mut self, now: Instant) {
-        self.overlay.clear();
-        self.stops.clear();
-        self.live.clear();
-        self.rent = RentState::new(now);
+    /// Takes in our own changes as soon as they are answered.
+    pub fn apply(&mut self, ops: Vec<Op>, ledger: u64) {
+        for op in ops {
+            match op {
+                Op::Set { set, data, .. } => self.replica.put(&set, data, ledger),
+                Op::Drop { drop } => self.replica.remove(&drop, ledger),
+            }
+        }
+    }
+
+    /// Whether this node places a job's tasks and ends it.
+    pub fn owns_job(&self, me: &Member, id: &str) -> bool {
+        let job = self.replica.jobs.get(id);
+        job.is_some_and(|job| self.replica.owner_of_team(&job.record.spec.team) == Some(me))
+    }
+
+    /// Keeps what is known in memory to the machines that this node owns: what it saw under an
+    /// earlier ownership is void, as others may have acted since.
+    pub fn note_ownership(&mut self, me: &Member, now: Instant) {
+        let machines = &self.replica.machines;
+        let ours = |name: &String| machines.get(name).is_some_and(|k| k.record.owner == *me);
+        self.live.retain(|name, _| ours(name));
+        self.owned_since.retain(|name, _| ours(name));
+        self.rent.closing.retain(|name, _| ours(name));
+        for (name, kept) in machines {
+            if kept.record.owner == *me {
+                self.owned_since.entry(name.clone()).or_insert(now);
+            }
+        }
     }
 }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -44,6 +44,14 @@
         }
     }
 
+    /// The part of a machine's room that this fills: its scarcest resource decides.
+    pub fn share(&self, room: &Need) -> f64 {
+        let part = |need: f64, room: f64| if room > 0.0 { need / room } else { 0.0 };
+        part(self.cpus, room.cpus)
+            .max(part(self.gpus, room.gpus))
+            .max(part(self.memory_gb, room.memory_gb))
+    }
+
     fn is_empty(&self) -> bool {
         self.cpus <= SLACK && self.gpus <= SLACK && self.memory_gb <= SLACK
     }
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -17,74 +17,51 @@
     loop {
         let _ = tokio::time::timeout(TICK, node.stirred.notified()).await;
         if node.core().loaded {
-            lead(&node).await;
+            tick(&node).await;
         }
         tokio::time::sleep(SHORTEST).await;
     }
 }
 
-async fn lead(node: &Arc<Node>) {
-    let Some(mark) = membership::lead_mark(node) else {
-        let mut core = node.core();
-        if core.leading.take().is_some() {
-            tracing::info!("no longer leading");
-            core.clear_term(Instant::now());
-        }
-        return;
-    };
-    if node.core().leading != Some(mark) {
-        if !membership::take_over(node, mark).await {
-            node.stirred.notify_one();
-            return;
-        }
-        let now = Instant::now();
-        let mut core = node.core();
-        core.clear_term(now);
-        core.leading = Some(mark);
-        core.led_since = now;
-        drop(core);
-        let size = f64::from(node.settings.params.size);
-        let rate = node.settings.params.state.write_rps;
-        // The leader records all progress; the others only accept and cancel.
-        let share = if size > 1.0 { 0.7 } else { 0.95 };
-        node.state.set_write_rate(rate * share);
-        tracing::info!(mark, "leading");
+async fn tick(node: &Arc<Node>) {
+    let mark = membership::lead_mark(node);
+    let before = std::mem::replace(&mut node.core().leading, mark);
+    if before != mark {
+        tracing::info!(?mark, "the lead changed hands");
+    }
+    if let Some(mark) = mark {
+        membership::share_out(node, mark).await;
     }
-    tick(node, mark).await;
-}
-
-async fn tick(node: &Arc<Node>, mark: u64) {
     let now = Instant::now();
     let now_ms = wall_ms();
     {
         let mut core = node.core();
+        core.note_ownership(&node.me, now);
         if core.kinds.is_empty() {
             return;
         }
-        clear_gone(&mut core);
+        clear_gone(node, &mut core);
         let mut views = views::build(node, &core, now, now_ms);
-        let startup = node.policy.knobs.startup_count;
         // The first event waits for the first job, and is then at once.
-        let any = !core.replica.jobs.is_empty() || !core.replica.machines.is_empty();
-        if any && core.rent.period_due(node, now) {
-            let mapping = map(&views.jobs, &views.machines, startup, usize::MAX);
-            renting::service::event(node, &mut core, &views, &mapping, now_ms);
+        if !core.replica.jobs.is_empty() || !core.replica.machines.is_empty() {
+            renting::service::look_ahead(node, &mut core, &views, now, now_ms);
         }
+        let startup = node.policy.knobs.startup_count;
         let mapping = map(&views.jobs, &views.machines, startup, MOST_IN_TICK);
-        renting::service::remedy(node, &mut core, &views, &mapping, now);
         plan(&mut core, &mut views, &mapping);
     }
-    writer::write(node, mark).await;
+    writer::write(node, mark.is_some()).await;
 }
 
 /// Tasks on machines whose record is gone: it is dropped only once the machine provably is.
-fn clear_gone(core: &mut Core) {
+fn clear_gone(node: &Node, core: &mut Core) {
     let gone: Vec<_> = core
         .replica
         .on
         .iter()
         .filter(|(name, _)| !core.replica.machines.contains_key(*name))
         .flat_map(|(_, on)| on.iter().cloned())
+        .filter(|(job, _)| core.owns_job(&node.me, job))
         .collect();
     for id in gone {
         if let Entry::Placed {
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -162,7 +162,7 @@
         hopeless: Vec::new(),
     };
     for (id, job) in &core.replica.jobs {
-        if job.record.cancelled {
+        if job.record.cancelled || !core.owns_job(&node.me, id) {
             continue;
         }
         let failures = core.failures.get(id);
@@ -294,7 +294,7 @@
         if record.returning || core.rent.closing.contains_key(name) {
             continue;
         }
-        if record.owner != node.settings.member || record.incarnation != node.incarnation {
+        if record.owner != node.me {
             continue;
         }
         let Some(kind) = core.kind(&record.kind) else {
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -3,7 +3,7 @@
 pub mod service;
 
 use serde::{Deserialize, Serialize};
-use std::collections::HashSet;
+use std::collections::BTreeMap;
 
 /// The open values of the design, which operators may set.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -35,8 +35,8 @@
     }
 }
 
-/// What controllers publish each period for a kind of machine, summed by the leader.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+/// What a controller publishes each period for a kind of machine; the leader sums them.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Outlook {
     /// Late now: finished late since the last event, and waiting past their time.
     pub late_now: u32,
@@ -44,11 +44,42 @@
     /// Expected late among those mapped to the next event.
     pub late_next: u32,
     pub counted_next: u32,
-    /// Machines that the late tasks would fill.
-    pub wanted: u32,
+    /// The startup queue's length.
+    pub startup: u32,
+    /// Machines not up yet.
+    pub booting: u32,
+    /// Machines that the late tasks would fill, and how many of these may be spot machines.
+    pub wanted: f64,
+    pub wanted_spot: f64,
+    /// Tasks that came and that finished since the last event.
+    pub arrived: u32,
+    pub finished: u32,
+    /// Machines past their hold that the mapping has no use for.
+    pub held: Vec<Held>,
+}
+
+/// All that a controller publishes.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct OutlookRecord {
+    pub at_ms: u64,
+    pub kinds: BTreeMap<String, Outlook>,
 }
 
 impl Outlook {
+    pub fn add(&mut self, other: &Outlook) {
+        self.late_now += other.late_now;
+        self.counted_now += other.counted_now;
+        self.late_next += other.late_next;
+        self.counted_next += other.counted_next;
+        self.startup += other.startup;
+        self.booting += other.booting;
+        self.wanted += other.wanted;
+        self.wanted_spot += other.wanted_spot;
+        self.arrived += other.arrived;
+        self.finished += other.finished;
+        self.held.extend(other.held.iter().cloned());
+    }
+
     pub fn rate_now(&self) -> f64 {
         f64::from(self.late_now) / f64::from(self.counted_now.max(1))
     }
@@ -87,27 +118,20 @@
 }
 
 /// A machine as far as returning goes.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Held {
     pub name: String,
     pub remaining_hold_s: f64,
-    pub tasks: u32,
 }
 
-/// The machines to stop placing on. The paper's one: least remaining hold, and it is over; among
-/// equals the least busy. With it go all whose hold is over, that are idle, and that the mapping
-/// to the next event has no use for: one a period would pay for a fleet that nobody needs.
-pub fn to_return<'a>(held: &'a [Held], used: &HashSet<String>) -> Vec<&'a Held> {
-    let over = || held.iter().filter(|h| h.remaining_hold_s <= 0.0);
-    let first = over().min_by(|a, b| {
-        (a.tasks, a.remaining_hold_s)
-            .partial_cmp(&(b.tasks, b.remaining_hold_s))
-            .unwrap_or(std::cmp::Ordering::Equal)
-    });
-    let idle = over().filter(|h| h.tasks == 0 && !used.contains(&h.name));
-    let mut all: Vec<&Held> = first.into_iter().chain(idle).collect();
-    all.dedup_by(|a, b| a.name == b.name);
-    all
+/// The machines to stop placing on, least remaining hold first. The paper's one, and with it all
+/// whose hold is over and that nothing was mapped to: one a period would pay for a fleet that
+/// nobody needs. At least `keep` stay.
+pub fn to_return(held: &[Held], up: usize, keep: usize) -> Vec<&Held> {
+    let mut over: Vec<&Held> = held.iter().filter(|h| h.remaining_hold_s <= 0.0).collect();
+    over.sort_by(|a, b| a.remaining_hold_s.total_cmp(&b.remaining_hold_s));
+    over.truncate(up.saturating_sub(keep));
+    over
 }
 
 #[cfg(test)]
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -1,13 +1,15 @@
 //! The leader's renting: period events, remedies, the rentals and releases themselves, and what
 //! the cloud's list tells.
 
-use super::{Held, Knobs, Outlook, Verdict, periodic, remedial, to_return};
+use super::{Held, Knobs, Outlook, OutlookRecord, Verdict, periodic, remedial, to_return};
 use crate::cloud::{CloudError, MOST_RELEASED, Rental};
+use crate::membership;
+use crate::membership::shares::Member;
 use crate::node::{Core, Node, age_s, wall_ms};
 use crate::placement::views::{Views, kinds_for, room_of};
-use crate::placement::{Mapping, Need};
+use crate::placement::{Mapping, map};
 use crate::state::replica::{HireRecord, MachineRecord};
-use crate::state::{Guard, LEADER_KEY, Op, hire_key, machine_key};
+use crate::state::{Guard, LEADER_KEY, Op, hire_key, machine_key, outlook_key};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -29,7 +31,10 @@
 }
 
 pub struct RentState {
+    /// When this controller looks ahead next.
     pub next_event: Instant,
+    /// When the leader sums up and decides next.
+    pub leader_event: Option<Instant>,
     pub last_remedy: HashMap<String, Instant>,
     pub wishes: Vec<Wish>,
     /// Machines being given back, with why.
@@ -42,6 +47,9 @@
     /// Smoothed arrivals and finishes per period.
     pub flow: HashMap<String, (f64, f64)>,
     pub rented_in_all: u32,
+    /// To be published: what this node expects.
+    pub outlook: Option<OutlookRecord>,
+    pub published: Option<(Instant, OutlookRecord)>,
 }
 
 /// Largest k: beyond it the machines that late tasks would fill are the limit anyway.
@@ -51,6 +59,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             next_event: now,
+            leader_event: None,
             last_remedy: HashMap::new(),
             wishes: Vec::new(),
             closing: BTreeMap::new(),
@@ -59,39 +68,96 @@
             tally: HashMap::new(),
             flow: HashMap::new(),
             rented_in_all: 0,
+            outlook: None,
+            published: None,
         }
     }
+}
+
+/// A startup queue that grows is published before its period is over, but not more often.
+const EARLY: Duration = Duration::from_secs(2);
 
-    /// Whether a period's event is due; the next one is then set.
-    pub fn period_due(&mut self, node: &Node, now: Instant) -> bool {
-        if now < self.next_event {
-            return false;
+/// Makes up what this controller publishes: at each period, and when its startup queue grew.
+pub fn look_ahead(node: &Node, core: &mut Core, views: &Views, now: Instant, now_ms: u64) {
+    let knobs = node.policy.knobs;
+    let due = now >= core.rent.next_event;
+    if !due && !startup_grew(core, views, &knobs, now) {
+        return;
+    }
+    let mapping = map(
+        &views.jobs,
+        &views.machines,
+        knobs.startup_count,
+        usize::MAX,
+    );
+    let mut record = OutlookRecord {
+        at_ms: now_ms,
+        kinds: outlooks(core, views, &mapping, &knobs),
+    };
+    for (kind, outlook) in &mut record.kinds {
+        outlook.booting = booting(core, &node.me, kind);
+        outlook.held = held(core, &node.me, kind, &mapping, &knobs, now_ms);
+        outlook.arrived = arrived(node, core, kind, knobs.period_s, now_ms);
+    }
+    if due {
+        core.rent.next_event = now + Duration::from_secs_f64(knobs.period_s);
+        core.rent.tally.clear();
+    }
+    core.rent.outlook = Some(record);
+}
+
+fn startup_grew(core: &Core, views: &Views, knobs: &Knobs, now: Instant) -> bool {
+    let Some((at, record)) = &core.rent.published else {
+        return true;
+    };
+    if now.saturating_duration_since(*at) < EARLY {
+        return false;
+    }
+    let published: u32 = record.kinds.values().map(|o| o.startup).sum();
+    let length: u32 = startup_queues(views, knobs).values().sum();
+    // The remedial rule takes off one and divides: less than two more changes nothing.
+    length >= published + 2
+}
+
+/// Startup tasks waiting, per kind.
+fn startup_queues(views: &Views, knobs: &Knobs) -> BTreeMap<String, u32> {
+    let mut queues: BTreeMap<String, u32> = BTreeMap::new();
+    for (index, job) in views.jobs.iter().enumerate() {
+        if !views.hopeless[index] {
+            let left = job.waiting.len() as u32;
+            let queue = knobs.startup_count.saturating_sub(job.begun).min(left);
+            *queues.entry(views.pools[index].clone()).or_default() += queue;
         }
-        self.next_event = now + Duration::from_secs_f64(node.policy.knobs.period_s);
-        true
     }
+    queues
 }
 
 /// Per kind of machine, what the mapping predicts.
-pub fn outlooks(core: &Core, views: &Views, mapping: &Mapping) -> BTreeMap<String, Outlook> {
+fn outlooks(
+    core: &Core,
+    views: &Views,
+    mapping: &Mapping,
+    knobs: &Knobs,
+) -> BTreeMap<String, Outlook> {
     let mut pools: BTreeMap<String, Outlook> = BTreeMap::new();
-    let mut late_needs: HashMap<String, Need> = HashMap::new();
+    let queues = startup_queues(views, knobs);
     for kind in &core.kinds {
         let tally = core.rent.tally.get(&kind.name).copied().unwrap_or_default();
-        pools.insert(
-            kind.name.clone(),
-            Outlook {
-                late_now: tally.finished_late,
-                counted_now: tally.finished,
-                ..Outlook::default()
-            },
-        );
+        let outlook = Outlook {
+            late_now: tally.finished_late,
+            counted_now: tally.finished,
+            finished: tally.finished,
+            startup: queues.get(&kind.name).copied().unwrap_or(0),
+            ..Outlook::default()
+        };
+        pools.insert(kind.name.clone(), outlook);
     }
     for (index, job) in views.jobs.iter().enumerate() {
-        if views.hopeless[index] {
+        let name = &views.pools[index];
+        let Some(kind) = core.kind(name).filter(|_| !views.hopeless[index]) else {
             continue;
-        }
-        let pool = pools.entry(views.pools[index].clone()).or_default();
+        };
+        let pool = pools.entry(name.clone()).or_default();
         let (mapped, late) = mapping.mapped[index];
         let waiting = job.waiting.len() as u32;
         pool.counted_now += waiting;
@@ -100,43 +166,33 @@
         }
         pool.counted_next += mapped;
         pool.late_next += late;
-        let needs = late_needs.entry(views.pools[index].clone()).or_default();
-        needs.add(&job.need.times(f64::from(late)));
-    }
-    for (name, needs) in late_needs {
-        if let (Some(kind), Some(pool)) = (core.kind(&name), pools.get_mut(&name)) {
-            pool.wanted = machines_for(&needs, &room_of(kind));
+        let machines = job.need.share(&room_of(kind)) * f64::from(late);
+        pool.wanted += machines;
+        if job.spot {
+            pool.wanted_spot += machines;
         }
     }
     pools
 }
 
-fn machines_for(needs: &Need, room: &Need) -> u32 {
-    let share = |need: f64, room: f64| if room > 0.0 { need / room } else { 0.0 };
-    share(needs.cpus, room.cpus)
-        .max(share(needs.gpus, room.gpus))
-        .max(share(needs.memory_gb, room.memory_gb))
-        .ceil() as u32
-}
-
-/// A period's event: rent, return or keep, per kind of machine.
-pub fn event(node: &Node, core: &mut Core, views: &Views, mapping: &Mapping, now_ms: u64) {
+/// The leader's event, at each period: the controllers' figures are summed, and per kind of
+/// machine it rents, returns or keeps.
+pub fn event(node: &Node, core: &mut Core, now_ms: u64) {
     let knobs = node.policy.knobs;
-    let pools = outlooks(core, views, mapping);
-    for (kind, outlook) in &pools {
-        let tally = core.rent.tally.remove(kind).unwrap_or_default();
-        let arrived = arrived(core, kind, knobs.period_s, now_ms);
+    for (kind, outlook) in summed(core, &knobs, now_ms) {
         let flow = core.rent.flow.entry(kind.clone()).or_default();
-        flow.0 = flow.0 * 0.7 + f64::from(arrived) * 0.3;
-        flow.1 = flow.1 * 0.7 + f64::from(tally.finished) * 0.3;
+        flow.0 = flow.0 * 0.7 + f64::from(outlook.arrived) * 0.3;
+        flow.1 = flow.1 * 0.7 + f64::from(outlook.finished) * 0.3;
         let k = (flow.0 / flow.1.max(1.0)).clamp(1.0, MOST_K);
-        let verdict = periodic(outlook, &knobs, k);
+        let verdict = periodic(&outlook, &knobs, k);
         tracing::info!(
             kind,
             now = outlook.rate_now(),
             next = outlook.rate_next(),
             late = outlook.late_next,
             counted = outlook.counted_next,
+            startup = outlook.startup,
+            booting = outlook.booting,
             wanted = outlook.wanted,
             k,
             ?verdict,
@@ -144,16 +200,15 @@
         );
         match verdict {
             Verdict::Rent(n) => {
-                let coming = booting(core, kind);
                 // Booting machines took part in the mapping: what is late is late despite them.
-                let count = n.min(outlook.wanted.max(1));
-                tracing::info!(kind, count, coming, "renting by the period's rule");
-                wish(core, views, mapping, kind, count);
+                let count = n.min(outlook.wanted.ceil().max(1.0) as u32);
+                wish(core, &kind, &outlook, count);
             }
             Verdict::Return => {
-                let held = held(core, kind, &knobs, now_ms);
-                for machine in to_return(&held, &mapping.used) {
-                    tracing::info!(machine = machine.name, tasks = machine.tasks, "returning");
+                let all = core.replica.machines.values();
+                let up = all.filter(|m| m.record.kind == kind).count();
+                for machine in to_return(&outlook.held, up, 0) {
+                    tracing::info!(machine = machine.name, "returning");
                     core.rent.to_return.push(machine.name.clone());
                 }
             }
@@ -162,71 +217,77 @@
     }
 }
 
+/// What the controllers that are there published, summed per kind.
+fn summed(core: &Core, knobs: &Knobs, now_ms: u64) -> BTreeMap<String, Outlook> {
+    let mut sums: BTreeMap<String, Outlook> = BTreeMap::new();
+    for member in core.replica.present() {
+        let Some(kept) = core.replica.outlooks.get(&member.name) else {
+            continue;
+        };
+        if age_s(kept.record.at_ms, now_ms) > knobs.period_s * 2.5 {
+            continue; // from before it ended, or it has not come to publish: too old to act on
+        }
+        for (kind, outlook) in &kept.record.kinds {
+            sums.entry(kind.clone()).or_default().add(outlook);
+        }
+    }
+    sums
+}
+
 /// Tasks of a kind's jobs that came within the last period.
-fn arrived(core: &Core, kind: &str, period_s: f64, now_ms: u64) -> u32 {
+fn arrived(node: &Node, core: &Core, kind: &str, period_s: f64, now_ms: u64) -> u32 {
     let jobs = core.replica.jobs.values();
     jobs.map(|job| &job.record)
+        .filter(|r| core.replica.owner_of_team(&r.spec.team) == Some(&node.me))
         .filter(|r| !r.cancelled && age_s(r.accepted_ms, now_ms) < period_s)
         .filter(|r| kinds_for(core, &r.spec).first().is_some_and(|k| k == kind))
         .map(|r| r.spec.tasks)
         .sum()
 }
 
-/// Between events: rent by the startup queue's length.
-pub fn remedy(node: &Node, core: &mut Core, views: &Views, mapping: &Mapping, now: Instant) {
+/// The leader, between events: rent by the startup queues' length.
+pub fn remedy(node: &Node, core: &mut Core, now: Instant, now_ms: u64) {
     let knobs = node.policy.knobs;
-    let mut queues: BTreeMap<&str, u32> = BTreeMap::new();
-    for (index, pool) in views.pools.iter().enumerate() {
-        if views.hopeless[index] {
-            continue;
-        }
-        let started = mapping.starts.iter().filter(|s| s.job == index).count() as u32;
-        let job = &views.jobs[index];
-        let left = job.waiting.len() as u32 - started;
-        let queue = knobs.startup_count.saturating_sub(job.begun).min(left);
-        *queues.entry(pool).or_default() += queue;
-    }
     let period = Duration::from_secs_f64(knobs.period_s);
-    for (kind, startup) in queues {
-        let last = core.rent.last_remedy.get(kind);
-        if last.is_some_and(|last| now.duration_since(*last) < period) {
+    for (kind, outlook) in summed(core, &knobs, now_ms) {
+        let last = core.rent.last_remedy.get(&kind);
+        if last.is_some_and(|last| now.saturating_duration_since(*last) < period) {
             continue;
         }
-        let coming = booting(core, kind);
-        let count = remedial(startup, coming, &knobs);
+        let wished = core.rent.wishes.iter().filter(|w| w.kind == kind);
+        let coming = outlook.booting + wished.map(|w| w.count).sum::<u32>();
+        let count = remedial(outlook.startup, coming, &knobs);
         if count == 0 {
             continue;
         }
-        core.rent.last_remedy.insert(kind.to_owned(), now);
-        tracing::info!(kind, startup, coming, count, "renting by the remedial rule");
-        wish(core, views, mapping, kind, count);
+        core.rent.last_remedy.insert(kind.clone(), now);
+        tracing::info!(
+            kind,
+            startup = outlook.startup,
+            coming,
+            count,
+            "renting by the remedial rule"
+        );
+        wish(core, &kind, &outlook, count);
     }
 }
 
-/// Machines of a kind that are not up yet, wishes included.
-fn booting(core: &Core, kind: &str) -> u32 {
+/// Own machines of a kind that are not up yet.
+fn booting(core: &Core, me: &Member, kind: &str) -> u32 {
     let machines = core.replica.machines.iter();
-    let coming = machines
-        .filter(|(name, m)| m.record.kind == kind && !core.live.contains_key(*name))
-        .count() as u32;
-    let wishes = core.rent.wishes.iter().filter(|w| w.kind == kind);
-    coming + wishes.map(|w| w.count).sum::<u32>()
+    machines
+        .filter(|(name, m)| {
+            m.record.kind == kind && m.record.owner == *me && !core.live.contains_key(*name)
+        })
+        .count() as u32
 }
 
-fn wish(core: &mut Core, views: &Views, mapping: &Mapping, kind: &str, count: u32) {
-    // What the late or waiting tasks allow decides how many may be spot machines.
-    let (mut all, mut spot) = (0.0, 0.0);
-    for (index, job) in views.jobs.iter().enumerate() {
-        if views.pools[index] == kind {
-            let tasks = f64::from(mapping.mapped[index].1) + 0.01 * job.waiting.len() as f64;
-            let weight = tasks * (job.need.cpus + 10.0 * job.need.gpus).max(0.1);
-            all += weight;
-            if job.spot {
-                spot += weight;
-            }
-        }
-    }
-    let share = if all > 0.0 { spot / all } else { 0.0 };
+fn wish(core: &mut Core, kind: &str, outlook: &Outlook, count: u32) {
+    // What the late tasks allow decides how many may be spot machines.
+    let share = match outlook.wanted > 0.0 {
+        true => outlook.wanted_spot / outlook.wanted,
+        false => 0.0,
+    };
     core.rent.wishes.push(Wish {
         kind: kind.to_owned(),
         count,
@@ -234,14 +295,25 @@
     });
 }
 
-fn held(core: &Core, kind: &str, knobs: &Knobs, now_ms: u64) -> Vec<Held> {
+/// Own machines past their hold that are idle and that nothing was mapped to. By the second
+/// nothing is paid ahead, so that the hold begins anew with each use.
+fn held(
+    core: &Core,
+    me: &Member,
+    kind: &str,
+    mapping: &Mapping,
+    knobs: &Knobs,
+    now_ms: u64,
+) -> Vec<Held> {
     let machines = core.replica.machines.iter();
     machines
         .filter(|(name, m)| {
             m.record.kind == kind
+                && m.record.owner == *me
                 && !m.record.returning
                 && !core.rent.closing.contains_key(*name)
-                && !core.rent.to_return.contains(name)
+                && !core.replica.on.contains_key(*name)
+                && !mapping.used.contains(*name)
         })
         .filter_map(|(name, m)| {
             let unused = core.live.get(name)?.used_at.elapsed().as_secs_f64();
@@ -249,12 +321,26 @@
             Some(Held {
                 name: name.clone(),
                 remaining_hold_s: knobs.hold_s - unused.min(age),
-                tasks: core.replica.on.get(name).map_or(0, |on| on.len() as u32),
             })
         })
+        .filter(|h| h.remaining_hold_s <= 0.0)
+        .take(12)
         .collect()
 }
 
+/// Publishes what is to be published; the leader then has its event.
+async fn publish(node: &Arc<Node>) {
+    let Some(record) = node.core().rent.outlook.take() else {
+        return;
+    };
+    let put = Op::set(outlook_key(&node.me.name), &record);
+    if let Ok(ledger) = node.state.transact(&[], std::slice::from_ref(&put)).await {
+        let mut core = node.core();
+        core.apply(vec![put], ledger);
+        core.rent.published = Some((Instant::now(), record));
+    }
+}
+
 const PAUSE: Duration = Duration::from_millis(500);
 
 /// Fetches the catalogue on every node, which needs it to judge submissions, and does the
@@ -271,9 +357,11 @@
             catalog_at = Some(Instant::now());
             node.stirred.notify_one();
         }
-        let leading = node.core().leading;
-        if let Some(mark) = leading {
-            close_machines(&node, mark).await;
+        publish(&node).await;
+        close_machines(&node).await;
+        if let Some(mark) = membership::lead_mark(&node) {
+            lead_event(&node);
+            mark_returning(&node, mark).await;
             resend_hires(&node, mark).await;
             fulfil(&node, mark).await;
             if list_at.is_none_or(|at| at.elapsed() > every) {
@@ -285,6 +373,17 @@
     }
 }
 
+fn lead_event(node: &Node) {
+    let (now, now_ms) = (Instant::now(), wall_ms());
+    let mut core = node.core();
+    if core.rent.leader_event.is_none_or(|at| at <= now) {
+        let period = Duration::from_secs_f64(node.policy.knobs.period_s);
+        core.rent.leader_event = Some(now + period);
+        event(node, &mut core, now_ms);
+    }
+    remedy(node, &mut core, now, now_ms);
+}
+
 fn guard(mark: u64) -> Guard {
     Guard {
         k: LEADER_KEY.into(),
@@ -364,9 +463,7 @@
         .await
     {
         Ok(ledger) => {
-            if let Op::Set { set, data, .. } = put {
-                node.core().replica.put(&set, data, ledger);
-            }
+            node.core().apply(vec![put], ledger);
         }
         Err(_) => return 0,
     }
@@ -407,8 +504,7 @@
         node.core().rent.refused.insert(key, until);
     }
     let machine = MachineRecord {
-        owner: node.settings.member.clone(),
-        incarnation: node.incarnation,
+        owner: node.me.clone(),
         addr: String::new(),
         kind: record.kind.clone(),
         zone: record.zone.clone(),
@@ -429,13 +525,7 @@
         }
     }
     if let Ok(ledger) = node.state.transact(&guards, &ops).await {
-        let mut core = node.core();
-        for op in ops {
-            match op {
-                Op::Set { set, data, .. } => core.replica.put(&set, data, ledger),
-                Op::Drop { drop } => core.replica.remove(&drop, ledger),
-            }
-        }
+        node.core().apply(ops, ledger);
     }
     names.len() as u32
 }
@@ -458,8 +548,7 @@
 
 /// Returns idle machines, gives back silent ones, and drops their records once the cloud has
 /// answered: only then is everything on them provably gone.
-async fn close_machines(node: &Arc<Node>, mark: u64) {
-    mark_returning(node, mark).await;
+async fn close_machines(node: &Arc<Node>) {
     let names = to_close(node);
     if names.is_empty() {
         return;
@@ -468,7 +557,7 @@
         tracing::info!(%error, "a release is open");
         return;
     }
-    let mut guards = vec![guard(mark)];
+    let mut guards = Vec::new();
     let mut ops = Vec::new();
     for name in &names {
         let core = node.core();
@@ -511,13 +600,9 @@
             },
         ];
         let put = Op::set(machine_key(&name), &record);
-        if let Ok(ledger) = node
-            .state
-            .transact(&guards, std::slice::from_ref(&put))
-            .await
-            && let Op::Set { set, data, .. } = put
-        {
-            node.core().replica.put(&set, data, ledger);
+        let outcome = node.state.transact(&guards, std::slice::from_ref(&put));
+        if let Ok(ledger) = outcome.await {
+            node.core().apply(vec![put], ledger);
         }
     }
 }
@@ -534,6 +619,9 @@
     let (mut silent, mut heard) = (0, 0);
     for (name, kept) in &core.replica.machines {
         let record = &kept.record;
+        let Some(since) = core.owned_since.get(name) else {
+            continue;
+        };
         let empty = !core.replica.on.contains_key(name)
             && !core.overlay.values().flat_map(|c| c.values()).any(
                 |e| matches!(e, crate::jobs::Entry::Placed { machine, .. } if machine == name),
@@ -564,7 +652,7 @@
             None => {
                 let boot = core.kinds.iter().find(|k| k.name == record.kind);
                 let boot = boot.map_or(60.0, |k| k.boot_s);
-                let known = now.saturating_duration_since(core.led_since);
+                let known = now.saturating_duration_since(*since);
                 let unheard = age_s(record.hired_ms, now_ms) > boot * 3.0 + 15.0;
                 if unheard && known > silence {
                     close.push((name.clone(), "never came up"));
@@ -572,15 +660,13 @@
             }
         }
     }
-    if silent >= 3 && silent * 2 > heard + silent && core.stand_back_until.is_none() {
-        // Most machines fell silent at once: more likely this node cannot hear them. Another
-        // that can may lead; releasing them all would throw their work away.
-        let first = core.led_since.elapsed() < Duration::from_secs(60);
-        if !first {
-            tracing::info!(silent, heard, "cannot hear most machines: standing back");
-            core.stand_back_until = Some(now + Duration::from_secs(30));
-            return Vec::new();
-        }
+    let others = core.replica.presence.len() > 1;
+    if others && silent >= 3 && silent > heard && core.stand_back_until.is_none() {
+        // Most machines fell silent at once: more likely this node cannot hear them. Others may;
+        // releasing them all would throw their work away.
+        tracing::info!(silent, heard, "cannot hear most machines: standing back");
+        core.stand_back_until = Some(now + Duration::from_secs(30));
+        return Vec::new();
     }
     close.truncate(MOST_RELEASED.min(node.settings.params.state.txn_ops));
     for (name, why) in &close {
@@ -619,8 +705,7 @@
             continue;
         }
         let record = MachineRecord {
-            owner: node.settings.member.clone(),
-            incarnation: node.incarnation,
+            owner: node.me.clone(),
             addr: listed.addr,
             kind: listed.kind,
             zone: listed.zone,
@@ -652,9 +737,7 @@
         .await
     {
         Ok(ledger) => {
-            if let Op::Set { set, data, .. } = put {
-                node.core().replica.put(&set, data, ledger);
-            }
+            node.core().apply(vec![put], ledger);
             tracing::info!(machine = name, "adopted");
             true
         }
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -25,12 +25,6 @@
         }
     }
 
-    pub fn set_rate(&mut self, rate: f64, now: Instant) {
-        self.refill(now);
-        self.rate = rate;
-        self.level = self.level.min(rate);
-    }
-
     fn refill(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = now;
--- a/src/state/client.rs
+++ b/src/state/client.rs
@@ -133,11 +133,6 @@
         }
     }
 
-    /// Sets this node's part of the limit on writes.
-    pub fn set_write_rate(&self, rate: f64) {
-        self.writes.lock().unwrap().set_rate(rate, Instant::now());
-    }
-
     /// How many puts and deletes this node may send now.
     pub fn writes_left(&self, need: Need) -> usize {
         let left = self.writes.lock().unwrap().available(need, Instant::now());
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -27,7 +27,11 @@
 pub fn presence_key(member: &str) -> String {
     format!("r/n/{member}")
 }
+pub fn outlook_key(member: &str) -> String {
+    format!("r/o/{member}")
+}
 pub const LEADER_KEY: &str = "r/leader";
+pub const SHARES_KEY: &str = "r/shares";
 pub fn final_key(id: &str) -> String {
     format!("e/{id}")
 }
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -3,15 +3,15 @@
 
 use super::client::{Change, Pair};
 use crate::jobs::{Entry, Final, JobRecord, Page, Stage};
+use crate::membership::shares::{Member, Shares};
+use crate::renting::OutlookRecord;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// The durable record of a rented machine. The mark of its key is the machine's token.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineRecord {
-    pub owner: String,
-    /// The owner's incarnation: one that restarted is another.
-    pub incarnation: u64,
+    pub owner: Member,
     pub addr: String,
     pub kind: String,
     pub zone: String,
@@ -102,6 +102,9 @@
     pub hires: BTreeMap<String, Kept<HireRecord>>,
     pub presence: BTreeMap<String, Kept<PresenceRecord>>,
     pub leader: Option<Kept<LeaderRecord>>,
+    pub shares: Option<Kept<Shares>>,
+    /// What each controller published last.
+    pub outlooks: BTreeMap<String, Kept<OutlookRecord>>,
     /// Pages whose job is not there (any more).
     pub orphans: BTreeMap<(String, usize), Kept<Page>>,
     /// Which tasks the records place on each machine.
@@ -191,6 +194,10 @@
             "m" => keep(&mut self.machines, key, name, data, mark),
             "h" => keep(&mut self.hires, key, name, data, mark),
             "n" => keep(&mut self.presence, key, name, data, mark),
+            "o" => keep(&mut self.outlooks, key, name, data, mark),
+            "shares" if self.shares.as_ref().is_none_or(|s| s.mark < mark) => {
+                self.shares = read(key, data).map(|record| Kept { record, mark });
+            }
             "leader" if self.leader.as_ref().is_none_or(|l| l.mark < mark) => {
                 self.leader = read(key, data).map(|record| Kept { record, mark });
             }
@@ -346,6 +353,22 @@
         self.released.iter().any(|r| r == name)
     }
 
+    /// The controllers that are there.
+    pub fn present(&self) -> BTreeSet<Member> {
+        let presence = self.presence.iter();
+        presence
+            .map(|(name, p)| Member {
+                name: name.clone(),
+                incarnation: p.record.incarnation,
+            })
+            .collect()
+    }
+
+    /// The controller that places a team's work.
+    pub fn owner_of_team(&self, team: &str) -> Option<&Member> {
+        self.shares.as_ref()?.record.teams.get(team)
+    }
+
     pub fn page_of(&self, task: u32) -> usize {
         task as usize / self.page_len
     }
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -29,21 +29,18 @@
     let owner = {
         let core = node.core();
         let kept = core.replica.machines.get(&report.machine);
-        kept.map(|k| (k.record.owner.clone(), k.record.incarnation))
+        kept.map(|k| k.record.owner.clone())
     };
-    let me = (node.settings.member.clone(), node.incarnation);
-    let ours = match owner {
-        Some(owner) => owner == me,
-        None => match greet_unknown(node, &report).await {
-            Ok(()) => true,
-            Err(answer) => return answer,
-        },
-    };
-    if !ours {
-        let core = node.core();
-        let leader = core.replica.leader.as_ref();
-        let leader = leader.map(|l| l.record.member.as_str());
-        return elsewhere(leader.filter(|l| *l != node.settings.member));
+    match owner {
+        Some(owner) if owner == node.me => {}
+        // Ours before a restart: the leader has yet to give it to someone who is there.
+        Some(owner) if owner.name == node.me.name => return elsewhere(None),
+        Some(owner) => return elsewhere(Some(&owner.name)),
+        None => {
+            if let Err(answer) = greet_unknown(node, &report).await {
+                return answer;
+            }
+        }
     }
     // Without proof of state contact a cancellation may have passed us by: keeping the worker's
     // lease alive would keep cancelled tasks running. It ends by itself if we stay silent.
@@ -51,10 +48,6 @@
     if !node.has_state(blind) {
         return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "no state service");
     }
-    if node.core().leading.is_none() {
-        // Elected, but records of an earlier owner may still be on their way to us.
-        return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "taking over");
-    }
     let now = Instant::now();
     let mut core = node.core();
     let Some(answer) = take(&mut core, report, now) else {
@@ -70,22 +63,19 @@
     let Some(mark) = membership::lead_mark(node) else {
         let core = node.core();
         let leader = core.replica.leader.as_ref();
-        return Err(elsewhere(leader.map(|l| l.record.member.as_str())));
+        let leader = leader.map(|l| l.record.member.as_str());
+        return Err(elsewhere(leader.filter(|l| *l != node.me.name)));
     };
     let refuse = || come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "not known yet");
     {
         let core = node.core();
         // Our own rental may be about to be recorded; and one just released only reports late.
-        if core.leading.is_none()
-            || core.replica.released(&report.machine)
-            || !core.replica.hires.is_empty()
-        {
+        if core.replica.released(&report.machine) || !core.replica.hires.is_empty() {
             return Err(refuse());
         }
     }
     let record = MachineRecord {
-        owner: node.settings.member.clone(),
-        incarnation: node.incarnation,
+        owner: node.me.clone(),
         addr: report.addr.clone(),
         kind: report.kind.clone(),
         zone: report.zone.clone(),
