--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -231,6 +231,12 @@
 
 /// Forgets planned changes that the records now hold, or that no longer apply to them.
 fn settle(core: &mut Core) {
+    let replica = &core.replica;
+    core.stops.retain(|((id, task), attempt), _| {
+        let job = replica.jobs.get(id);
+        let entry = job.map(|j| j.entry(replica.page_len, *task));
+        matches!(entry, Some(Entry::Placed { attempt: held, .. }) if held == *attempt)
+    });
     let overlay = std::mem::take(&mut core.overlay);
     for ((id, number), changes) in overlay {
         let Some(job) = core.replica.jobs.get(&id) else {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -2,6 +2,7 @@
 //! tasks by earliest deadline, the first tasks of each job ahead of them unless the batch head
 //! would then be late. The same mapping serves to place now and to predict misses.
 
+pub mod preempt;
 pub mod service;
 pub mod views;
 
@@ -167,6 +168,8 @@
     /// Tasks that were started or are done: they count towards the startup tasks.
     pub begun: u32,
     pub arrived: f64,
+    /// All its team's unfinished jobs fit into the team's guarantee: it need not wait for others.
+    pub guaranteed: bool,
     /// Seconds from now until its tasks should run or be complete, whichever `by` says.
     pub due: f64,
     pub by: By,
@@ -371,7 +374,10 @@
 /// Maps waiting tasks, at most so many. `startup_count` tasks of each job are startup tasks.
 pub fn map(jobs: &[JobView], machines: &[MachineView], startup_count: u32, most: usize) -> Mapping {
     let mut batch: Vec<usize> = (0..jobs.len()).collect();
-    batch.sort_by(|a, b| jobs[*a].due.total_cmp(&jobs[*b].due));
+    batch.sort_by(|a, b| {
+        let first = jobs[*b].guaranteed.cmp(&jobs[*a].guaranteed);
+        first.then(jobs[*a].due.total_cmp(&jobs[*b].due))
+    });
     let mut startup: Vec<usize> = (0..jobs.len()).collect();
     startup.sort_by(|a, b| jobs[*a].arrived.total_cmp(&jobs[*b].arrived));
     let count = jobs.len();
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -1,7 +1,7 @@
 //! The placing loop: plans starts, and has them recorded before anything acts on them.
 
-use super::{Mapping, map, views};
-use crate::jobs::{Entry, writer};
+use super::{Mapping, map, preempt, views};
+use crate::jobs::{Entry, JobSpec, writer};
 use crate::membership;
 use crate::node::{Core, Node, wall_ms};
 use crate::renting;
@@ -49,10 +49,80 @@
         let startup = node.policy.knobs.startup_count;
         let mapping = map(&views.jobs, &views.machines, startup, MOST_IN_TICK);
         plan(&mut core, &mut views, &mapping);
+        make_room(node, &mut core, &views, &mapping);
+        save_from_notices(node, &mut core, now);
     }
     writer::write(node, mark.is_some()).await;
 }
 
+/// Most machines on which room is made in a tick.
+const MOST_CLEARED: usize = 2;
+
+fn make_room(node: &Node, core: &mut Core, views: &views::Views, mapping: &Mapping) {
+    let takes = views::STOP_TAKES_S + node.settings.params.workers.report_s;
+    let stops = preempt::choose(
+        &views.jobs,
+        &views.claims,
+        mapping,
+        &views.machines,
+        &views.occupants,
+        takes,
+        MOST_CLEARED,
+    );
+    for (id, attempt, grace) in stops {
+        tracing::debug!(job = id.0, task = id.1, "stopped to make room");
+        core.stops.insert((id, attempt), grace);
+    }
+}
+
+/// Before the cloud takes a machine, its tasks save if they can, and go elsewhere if they would
+/// not end in time.
+fn save_from_notices(node: &Node, core: &mut Core, now: Instant) {
+    let report = node.settings.params.workers.report_s;
+    let mut stops = Vec::new();
+    for (name, live) in &core.live {
+        let Some(at) = live.taken_at else {
+            continue;
+        };
+        let left = at.saturating_duration_since(now).as_secs_f64();
+        for id in core.replica.on.get(name).into_iter().flatten() {
+            let Some(job) = core.replica.jobs.get(&id.0) else {
+                continue;
+            };
+            let spec = &job.record.spec;
+            let ran = live.running_since.get(id).map_or(0.0, |(_, since)| {
+                now.saturating_duration_since(*since).as_secs_f64()
+            });
+            let ends_in_time = core.duration(spec) - ran < left;
+            let saves = spec.checkpoint_s > 0.0;
+            // The order goes out with an answer to a report, and saving takes its time.
+            let last_moment = spec.save_s * 1.25 + report * 1.5 + 1.5;
+            if ends_in_time || (saves && left > last_moment) {
+                continue;
+            }
+            let grace = if saves { left.max(spec.save_s) } else { 0.0 };
+            for task in mates(spec, id.1) {
+                let mate = (id.0.clone(), task);
+                if let Entry::Placed { attempt, .. } = core.entry(&mate.0, task) {
+                    stops.push(((mate, attempt), grace));
+                }
+            }
+        }
+    }
+    for (key, grace) in stops {
+        core.stops.entry(key).or_insert(grace);
+    }
+}
+
+/// A gang saves together or not at all; a task of an array by itself.
+fn mates(spec: &JobSpec, task: u32) -> std::ops::Range<u32> {
+    if spec.is_gang() {
+        0..spec.tasks
+    } else {
+        task..task + 1
+    }
+}
+
 /// Tasks on machines whose record is gone: it is dropped only once the machine provably is.
 fn clear_gone(node: &Node, core: &mut Core) {
     let gone: Vec<_> = core
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-fn machine(name: &str, free_at: f64, cpus: f64) -> MachineView {
+pub fn machine(name: &str, free_at: f64, cpus: f64) -> MachineView {
     MachineView {
         name: name.into(),
         kind: "m".into(),
@@ -21,7 +21,7 @@
     }
 }
 
-fn job(id: &str, cpus: f64, tasks: u32, due: f64) -> JobView {
+pub fn job(id: &str, cpus: f64, tasks: u32, due: f64) -> JobView {
     JobView {
         id: id.into(),
         gang: false,
@@ -39,6 +39,7 @@
         waiting: (0..tasks).collect(),
         begun: 0,
         arrived: 0.0,
+        guaranteed: false,
         due,
         by: By::End,
         duration: 30.0,
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -1,7 +1,8 @@
 //! From records and reports to what the mapping works on.
 
+use super::preempt::{Claim, Occupant};
 use super::{By, Chunk, JobView, MachineView, Need};
-use crate::jobs::{Entry, JobSpec, Shape, Urgency};
+use crate::jobs::{Entry, JobSpec, Shape};
 use crate::node::{Core, Node, age_s};
 use crate::workers::{TaskId, TaskState};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -13,12 +14,16 @@
 /// Part of a machine's CPUs that stays free for its idle GPUs.
 const KEPT_FOR_GPUS: f64 = 0.8;
 
+/// From a decision to stop a task until its room is free: a report, and a record.
+pub const STOP_TAKES_S: f64 = 2.0;
+
 pub struct Views {
     pub jobs: Vec<JobView>,
     pub machines: Vec<MachineView>,
     /// Per job: the kind of machine that its tasks most need.
     pub pools: Vec<String>,
-    pub urgencies: Vec<Urgency>,
+    pub claims: Vec<Claim>,
+    pub occupants: BTreeMap<String, Vec<Occupant>>,
     pub teams: Vec<String>,
     /// What each limited team may still take.
     pub team_room: HashMap<String, Need>,
@@ -156,11 +161,14 @@
         jobs: Vec::new(),
         machines,
         pools: Vec::new(),
-        urgencies: Vec::new(),
+        claims: Vec::new(),
+        occupants: BTreeMap::new(),
         teams: Vec::new(),
         team_room: team_room(node, &used),
         hopeless: Vec::new(),
     };
+    let within = within_guarantee(node, core);
+    views.occupants = machine_occupants(node, core, &on, &used, now);
     for (id, job) in &core.replica.jobs {
         if job.record.cancelled || !core.owns_job(&node.me, id) {
             continue;
@@ -172,16 +180,21 @@
         {
             continue;
         }
-        let Some(view) = job_view(node, core, job, &views.team_room, now_ms) else {
+        let Some(mut view) = job_view(node, core, job, &views.team_room, now_ms) else {
             continue;
         };
+        let guaranteed = within.get(&job.record.spec.team).copied().unwrap_or(false);
+        view.guaranteed = guaranteed;
         let Some(pool) = view.kinds.first().cloned() else {
             continue;
         };
         views.jobs.push(view);
         views.pools.push(pool);
         views.teams.push(job.record.spec.team.clone());
-        views.urgencies.push(job.record.spec.urgency);
+        views.claims.push(Claim {
+            urgency: job.record.spec.urgency,
+            guaranteed,
+        });
         views
             .hopeless
             .push(failures.is_some_and(|f| f.is_everywhere()));
@@ -239,6 +252,7 @@
         waiting,
         begun: done + placed,
         arrived: -age,
+        guaranteed: false,
         due: due - age,
         by,
         duration: core.duration(spec),
@@ -249,6 +263,72 @@
     })
 }
 
+/// Teams with a guarantee into which all their unfinished jobs fit together.
+fn within_guarantee(node: &Node, core: &Core) -> HashMap<String, bool> {
+    let mut wants: HashMap<&str, Need> = HashMap::new();
+    for job in core.replica.jobs.values() {
+        let spec = &job.record.spec;
+        if !job.record.cancelled {
+            let left = f64::from(spec.tasks - job.done.min(spec.tasks));
+            let wants = wants.entry(&spec.team).or_default();
+            wants.add(&spec.need().times(left));
+        }
+    }
+    let teams = node.settings.params.teams.iter();
+    teams
+        .filter(|team| team.cpus > 0.0 || team.gpus > 0.0)
+        .map(|team| {
+            let wants = wants.get(team.name.as_str()).copied().unwrap_or_default();
+            let within = wants.cpus <= team.cpus + 1e-6 && wants.gpus <= team.gpus + 1e-6;
+            (team.name.clone(), within)
+        })
+        .collect()
+}
+
+fn machine_occupants(
+    node: &Node,
+    core: &Core,
+    on: &HashMap<String, BTreeSet<TaskId>>,
+    used: &HashMap<String, Need>,
+    now: Instant,
+) -> BTreeMap<String, Vec<Occupant>> {
+    let borrowing = |team: &str| {
+        let settings = node.settings.params.teams.iter().find(|t| t.name == team);
+        let used = used.get(team).copied().unwrap_or_default();
+        settings.is_some_and(|t| used.cpus > t.cpus + 1e-6 || used.gpus > t.gpus + 1e-6)
+    };
+    let mut all = BTreeMap::new();
+    for (name, live) in &core.live {
+        let mut there = Vec::new();
+        for id in on.get(name).into_iter().flatten() {
+            let Some(job) = core.replica.jobs.get(&id.0) else {
+                continue;
+            };
+            let spec = &job.record.spec;
+            let Entry::Placed { attempt, .. } = core.entry(&id.0, id.1) else {
+                continue;
+            };
+            let ran = live.running_since.get(id).map_or(0.0, |(_, since)| {
+                now.saturating_duration_since(*since).as_secs_f64()
+            });
+            let saves = spec.checkpoint_s > 0.0;
+            there.push(Occupant {
+                id: id.clone(),
+                attempt,
+                need: spec.need(),
+                urgency: spec.urgency,
+                borrowing: borrowing(&spec.team),
+                lost_s: if saves { spec.save_s } else { ran },
+                grace_s: if saves { spec.save_s * 1.5 + 1.0 } else { 0.0 },
+                fixed: core.stops.contains_key(&(id.clone(), attempt))
+                    || (spec.is_gang() && spec.tasks > 1),
+            });
+        }
+        all.insert(name.clone(), there);
+    }
+    all
+}
+
 /// What each team may still take under its limit; a limit of 0 is none.
 fn team_room(node: &Node, used: &HashMap<String, Need>) -> HashMap<String, Need> {
     let left = |max: f64, used: f64| if max > 0.0 { max - used } else { f64::INFINITY };
@@ -363,6 +443,11 @@
     kind: &crate::cloud::Kind,
     now: Instant,
 ) -> f64 {
+    if let Entry::Placed { attempt, .. } = core.entry(&id.0, id.1)
+        && let Some(grace) = core.stops.get(&(id.clone(), attempt))
+    {
+        return STOP_TAKES_S + grace;
+    }
     let slowness = live.map_or(1.0, |l| l.slowness);
     let whole = core.duration(spec) * slowness;
     let fetch = spec.image_gb / kind.fetch_gb_per_s.max(0.001);
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -6,6 +6,7 @@
 pub use wire::{Cause, Order, Report, TaskState};
 
 use crate::jobs::{Entry, split_task};
+use crate::node::Overlay;
 use crate::state::Replica;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -71,6 +72,13 @@
 /// Stops asked for by drains and preemption, by attempt, with the grace for saving.
 pub type Stops = HashMap<(TaskId, u64), f64>;
 
+/// What is planned and not in the records yet.
+#[derive(Clone, Copy)]
+pub struct Pending<'a> {
+    pub stops: &'a Stops,
+    pub overlay: &'a Overlay,
+}
+
 #[derive(Debug, Default, PartialEq)]
 pub struct Reading {
     /// Exits to be recorded.
@@ -88,7 +96,7 @@
     live: &mut Live,
     replica: &Replica,
     token: u64,
-    stops: &Stops,
+    pending: &Pending,
     now: Instant,
 ) -> Reading {
     let mut out = Reading::default();
@@ -159,7 +167,7 @@
                     }
                 }
                 if state != TaskState::Flushing
-                    && let Some(grace) = stops.get(&(id, task.attempt))
+                    && let Some(grace) = pending.stops.get(&(id, task.attempt))
                 {
                     out.orders
                         .push(Order::stop(&task.task, task.attempt, *grace));
@@ -168,7 +176,7 @@
         }
     }
     read_absences(
-        report, live, replica, token, stops, now, &reported, &mut out,
+        report, live, replica, token, pending, now, &reported, &mut out,
     );
     live.running_since
         .retain(|id, (attempt, _)| reported.get(id) == Some(attempt));
@@ -191,7 +199,7 @@
     live: &mut Live,
     replica: &Replica,
     token: u64,
-    stops: &Stops,
+    pending: &Pending,
     now: Instant,
     reported: &HashMap<TaskId, u64>,
     out: &mut Reading,
@@ -224,8 +232,18 @@
         if session > report.session {
             continue; // a late report from before the start
         }
+        let page = (id.0.clone(), replica.page_of(id.1));
+        if pending
+            .overlay
+            .get(&page)
+            .is_some_and(|c| c.contains_key(&id.1))
+        {
+            // Withdrawn already, and the record of that is under way: a `run` now would start
+            // what is about to be placed elsewhere.
+            continue;
+        }
         let cancelled = record.is_none_or(|job| job.record.cancelled);
-        let withdrawn = stops.contains_key(&(id.clone(), attempt))
+        let withdrawn = pending.stops.contains_key(&(id.clone(), attempt))
             && !live.sent.contains(&(id.clone(), attempt));
         if cancelled || withdrawn {
             // An earlier owner's `run` may still be under way until the worker has seen our
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -1,6 +1,6 @@
 //! Answers workers' reports: the machine's owner reads them, every other node names the owner.
 
-use super::{Live, Report, read};
+use super::{Live, Pending, Report, read};
 use crate::api::{Answer, come_back, error, json};
 use crate::jobs::Entry;
 use crate::membership;
@@ -115,7 +115,11 @@
     live.taken_at = report
         .notice_s
         .map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
-    let reading = read(&report, &mut live, &core.replica, token, &core.stops, now);
+    let pending = Pending {
+        stops: &core.stops,
+        overlay: &core.overlay,
+    };
+    let reading = read(&report, &mut live, &core.replica, token, &pending, now);
     for task in &report.tasks {
         if let Some((job, _)) = crate::jobs::split_task(&task.task)
             && let Some(job) = core.replica.jobs.get(job)
@@ -134,7 +138,6 @@
     }
     for (id, entry) in reading.facts {
         if let Entry::Waiting { last } = &entry {
-            core.stops.remove(&(id.clone(), *last));
             // A start planned on top of this exit already says the same.
             if core.entry(&id.0, id.1).last_attempt() > *last {
                 continue;
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -36,9 +36,14 @@
 }
 
 fn trace(replica: &Replica, report: Report) -> String {
+    trace_with(replica, report, &Stops::new(), &Overlay::new())
+}
+
+fn trace_with(replica: &Replica, report: Report, stops: &Stops, overlay: &Overlay) -> String {
     let now = Instant::now();
     let mut live = Live::new(report.clone(), now);
-    let reading = read(&report, &mut live, replica, TOKEN, &Stops::new(), now);
+    let pending = Pending { stops, overlay };
+    let reading = read(&report, &mut live, replica, TOKEN, &pending, now);
     let mut text = String::new();
     for ((job, task), entry) in &reading.facts {
         text.push_str(&format!("record {job}/{task} {entry:?}\n"));
@@ -125,3 +130,25 @@
     record job-1/0 Waiting { last: 1 }
     "#);
 }
+
+/// Rule `ran_twice`, found on a rough day: a start was withdrawn to make room, and before that
+/// was recorded the machine's next report got the `run` after all, while the task was placed
+/// anew.
+#[test]
+fn a_withdrawn_start_is_not_ordered_while_its_record_is_under_way() {
+    let replica = replica(false, json!([[1, "vm-1", 1]]));
+    let id: TaskId = ("job-1".into(), 0);
+    let stops = Stops::from([((id.clone(), 1), 0.0)]);
+    let none = Overlay::new();
+    let empty = || report(1, TOKEN, json!([]));
+    let first = trace_with(&replica, empty(), &stops, &none);
+    let planned = BTreeMap::from([(0, Entry::Waiting { last: 1 })]);
+    let overlay = Overlay::from([(("job-1".to_string(), 0), planned)]);
+    let second = trace_with(&replica, empty(), &Stops::new(), &overlay);
+    insta::assert_snapshot!(format!("withdrawn\n{first}not recorded yet\n{second}"), @r#"
+    withdrawn
+    record job-1/0 Waiting { last: 1 }
+    not recorded yet
+    nothing
+    "#);
+}
