Hand over when cut off from the state service; record releases before sending them

Now a node whose presence is over while others reach the state service sends its workers on, and every release is recorded under the machine's key first. Ruled out: slow takeover (3 s).

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -45,7 +45,7 @@
     match lease {
         None if stands_back => end_standing_back(node),
         None => join(node, ttl).await,
-        Some(lease) => match node.state.extend_lease(lease).await {
+        Some(lease) => match extend(node, lease).await {
             Err(ReadError::Gone) => {
                 tracing::info!("the presence lease is over");
                 node.core().lease = None;
@@ -56,6 +56,13 @@
     }
 }
 
+async fn extend(node: &Node, lease: u64) -> Result<(), ReadError> {
+    let sent = Instant::now();
+    node.state.extend_lease(lease).await?;
+    node.core().lease_proof = Some(sent);
+    Ok(())
+}
+
 async fn join(node: &Arc<Node>, ttl: Duration) {
     let me = &node.me.name;
     let old = {
@@ -69,9 +76,11 @@
         // A process of the same name that ended: its lease would only keep others waiting.
         let _ = node.state.end_lease(lease).await;
     }
+    let sent = Instant::now();
     let Ok(lease) = node.state.create_lease(ttl).await else {
         return;
     };
+    node.core().lease_proof = Some(sent);
     let record = PresenceRecord {
         incarnation: node.me.incarnation,
         lease,
@@ -172,7 +181,7 @@
         }
     }
     // More at once than the limit on writes allows would be refused as a whole.
-    let most_ops = node.state.writes_left(Budget::Own).clamp(1, 12);
+    let most_ops = node.state.writes_left(Budget::Own).clamp(6, 12);
     let machines: Vec<Shared> = replica
         .machines
         .iter()
--- a/src/node.rs
+++ b/src/node.rs
@@ -73,6 +73,8 @@
     pub proof: Option<Instant>,
     pub loaded: bool,
     pub lease: Option<u64>,
+    /// When the last call was sent that renewed the presence lease.
+    pub lease_proof: Option<Instant>,
     /// Mark of the leader key under which this node did the leader's duties last.
     pub leading: Option<u64>,
     /// When machines changed hands last.
@@ -120,6 +122,7 @@
                 proof: None,
                 loaded: false,
                 lease: None,
+                lease_proof: None,
                 leading: None,
                 shared_at: None,
                 owned_since: HashMap::new(),
@@ -158,6 +161,17 @@
         std::mem::take(&mut *self.sync_waiters.lock().unwrap())
     }
 
+    /// Whether this node is cut off from the state service while others reach it: then its
+    /// presence is over, and its machines belong to others. In an outage for all, leases stand
+    /// still and the machines stay.
+    pub fn is_cut_off(&self) -> bool {
+        let ttl = self.settings.presence_ttl();
+        let proof = self.core().lease_proof;
+        let others = *self.peers_have_state.lock().unwrap();
+        proof.is_none_or(|p| p.elapsed() > ttl)
+            && others.is_some_and(|at| at.elapsed() < Duration::from_secs(4))
+    }
+
     /// Whether the state service answered lately.
     pub fn has_state(&self, within: Duration) -> bool {
         self.core().proof.is_some_and(|p| p.elapsed() <= within)
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -44,6 +44,8 @@
     /// Expected late among those mapped to the next event.
     pub late_next: u32,
     pub counted_next: u32,
+    /// Tasks on machines.
+    pub running: u32,
     /// The startup queue's length.
     pub startup: u32,
     /// Machines not up yet.
@@ -71,6 +73,7 @@
         self.counted_now += other.counted_now;
         self.late_next += other.late_next;
         self.counted_next += other.counted_next;
+        self.running += other.running;
         self.startup += other.startup;
         self.booting += other.booting;
         self.wanted += other.wanted;
@@ -84,6 +87,12 @@
         f64::from(self.late_now) / f64::from(self.counted_now.max(1))
     }
 
+    /// The predicted rate among all tasks, those on machines included: one late task must not
+    /// keep a fleet that has no use for it.
+    pub fn rate_of_all(&self) -> f64 {
+        f64::from(self.late_next) / f64::from((self.counted_next + self.running).max(1))
+    }
+
     pub fn rate_next(&self) -> f64 {
         f64::from(self.late_next) / f64::from(self.counted_next.max(1))
     }
@@ -103,7 +112,7 @@
     if change >= 0.0 && next >= knobs.beta {
         let n = (k.max(knobs.k) * next / knobs.beta).floor() as u32;
         Verdict::Rent(n.max(1))
-    } else if change <= 0.0 && next <= knobs.alpha {
+    } else if change <= 0.0 && outlook.rate_of_all() <= knobs.alpha {
         Verdict::Return
     } else {
         Verdict::Keep
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -92,7 +92,7 @@
     );
     let mut record = OutlookRecord {
         at_ms: now_ms,
-        kinds: outlooks(core, views, &mapping, &knobs),
+        kinds: outlooks(node, core, views, &mapping, &knobs),
     };
     for (kind, outlook) in &mut record.kinds {
         outlook.booting = booting(core, &node.me, kind);
@@ -134,6 +134,7 @@
 
 /// Per kind of machine, what the mapping predicts.
 fn outlooks(
+    node: &Node,
     core: &Core,
     views: &Views,
     mapping: &Mapping,
@@ -152,6 +153,15 @@
         };
         pools.insert(kind.name.clone(), outlook);
     }
+    for (id, job) in &core.replica.jobs {
+        if job.placed > 0
+            && core.owns_job(&node.me, id)
+            && let Some(name) = kinds_for(core, &job.record.spec).into_iter().next()
+        {
+            let pool = pools.entry(name).or_default();
+            pool.running += job.placed;
+        }
+    }
     for (index, job) in views.jobs.iter().enumerate() {
         let name = &views.pools[index];
         let Some(kind) = core.kind(name).filter(|_| !views.hopeless[index]) else {
@@ -527,6 +537,7 @@
         spot: record.spot,
         hired_ms: record.at_ms,
         returning: false,
+        closing: false,
     };
     let mut guards = vec![guard(mark)];
     let mut ops = vec![Op::drop(hire_key(name))];
@@ -566,6 +577,7 @@
 /// answered: only then is everything on them provably gone.
 async fn close_machines(node: &Arc<Node>) {
     let names = to_close(node);
+    let names = record_closing(node, names).await;
     if names.is_empty() {
         return;
     }
@@ -600,6 +612,47 @@
     }
 }
 
+/// Records each release before it is sent, guarded by the machine's key: a node that was cut off
+/// from the state service hears its machines no longer, because they are another's by now, and
+/// must not release them.
+async fn record_closing(node: &Arc<Node>, names: Vec<String>) -> Vec<String> {
+    let mut recorded = Vec::new();
+    let (mut guards, mut ops, mut new) = (Vec::new(), Vec::new(), Vec::new());
+    for name in names {
+        let Some(kept) = node.core().replica.machines.get(&name).cloned() else {
+            continue;
+        };
+        if kept.record.closing {
+            recorded.push(name);
+            continue;
+        }
+        let record = MachineRecord {
+            returning: true,
+            closing: true,
+            ..kept.record
+        };
+        guards.push(Guard {
+            k: machine_key(&name),
+            mark: kept.mark,
+        });
+        ops.push(Op::set(machine_key(&name), &record));
+        new.push(name);
+    }
+    if ops.is_empty() {
+        return recorded;
+    }
+    match node.state.transact(&guards, &ops).await {
+        Ok(ledger) => {
+            node.core().apply(ops, ledger);
+            recorded.extend(new);
+        }
+        Err(_) => {
+            node.sync().await;
+        }
+    }
+    recorded
+}
+
 async fn mark_returning(node: &Arc<Node>, mark: u64) {
     let names = std::mem::take(&mut node.core().rent.to_return);
     for name in names {
@@ -627,7 +680,13 @@
 fn to_close(node: &Node) -> Vec<String> {
     let now = Instant::now();
     let now_ms = wall_ms();
+    if node.is_cut_off() {
+        return Vec::new();
+    }
     let mut core = node.core();
+    if core.stand_back_until.is_some() {
+        return Vec::new();
+    }
     let core = &mut *core;
     let report = node.settings.report_every();
     let silence = node.settings.lease().mul_f64(1.02) + Duration::from_millis(500);
@@ -642,6 +701,10 @@
             && !core.overlay.values().flat_map(|c| c.values()).any(
                 |e| matches!(e, crate::jobs::Entry::Placed { machine, .. } if machine == name),
             );
+        if record.closing {
+            close.push((name.clone(), "decided before"));
+            continue;
+        }
         match core.live.get(name) {
             Some(live) => {
                 let quiet = now.saturating_duration_since(live.heard);
@@ -670,7 +733,9 @@
                 let boot = boot.map_or(60.0, |k| k.boot_s);
                 let known = now.saturating_duration_since(*since);
                 let unheard = age_s(record.hired_ms, now_ms) > boot * 3.0 + 15.0;
-                if unheard && known > silence {
+                // An owner before us that is cut off from the state service may keep the worker
+                // for as long as it may go without proof; only then does silence mean anything.
+                if unheard && known > silence + node.settings.blind_limit() {
                     close.push((name.clone(), "never came up"));
                 }
             }
@@ -728,6 +793,7 @@
             spot: listed.spot,
             hired_ms: wall_ms().saturating_sub((listed.age_s * 1000.0) as u64),
             returning: false,
+            closing: false,
         };
         adopt(node, mark, &listed.name, record).await;
     }
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -20,6 +20,9 @@
     /// No more is placed on it; it goes back when empty.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub returning: bool,
+    /// Its release was decided and may be sent at any time.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub closing: bool,
 }
 
 /// A rental's name, recorded before use.
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -42,6 +42,10 @@
             }
         }
     }
+    if node.is_cut_off() {
+        // The worker must find its new owner: as long as we answer 200 it stays with us.
+        return elsewhere(None);
+    }
     // Without proof of state contact a cancellation may have passed us by: keeping the worker's
     // lease alive would keep cancelled tasks running. It ends by itself if we stay silent.
     let blind = node.settings.blind_limit();
@@ -82,6 +86,7 @@
         spot: report.spot,
         hired_ms: wall_ms(),
         returning: false,
+        closing: false,
     };
     match adopt(node, mark, &report.machine, record).await {
         true => Ok(()),
