--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -195,7 +195,7 @@
     pub starts: Vec<Start>,
     /// Per job: tasks mapped, and of these the ones expected to be late.
     pub mapped: Vec<(u32, u32)>,
-    /// Machines that something was mapped to.
+    /// Machines that work of their sort was mapped to.
     pub used: HashSet<String>,
 }
 
@@ -280,7 +280,9 @@
         machine.occupy(&view.need, at.start, at.end);
         machine.images.insert(view.image.clone());
         let late = view.is_late(at);
-        self.out.used.insert(machine.name.clone());
+        if machine.cpus_per_gpu == 0.0 || view.need.gpus > 0.0 {
+            self.out.used.insert(machine.name.clone());
+        }
         if at.start <= SLACK {
             *progress.zones.entry(machine.zone.clone()).or_default() += 1;
             self.out.starts.push(Start {
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -338,7 +338,7 @@
                 && m.record.owner == *me
                 && !m.record.returning
                 && !core.rent.closing.contains_key(*name)
-                && !core.replica.on.contains_key(*name)
+                && !core.serves_its_purpose(name, kind)
                 && !mapping.used.contains(*name)
         })
         .filter_map(|(name, m)| {
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -114,7 +114,7 @@
         live.sent.clear();
     }
     live.heard = now;
-    if !report.tasks.is_empty() || core.replica.on.contains_key(&name) {
+    if core.serves_its_purpose(&name, &report.kind) {
         live.used_at = now;
     }
     live.taken_at = report
