Record what was seen of a task only under the ownership it was seen in

Changes to a placed task are now guarded by its machine's key, and a new mark voids what was seen before. Also: the limit on requests in progress no longer falls below 16, as after an outage it refused submissions that nothing kept from being taken.

--- a/src/api/limit.rs
+++ b/src/api/limit.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-const LEAST: f64 = 4.0;
+const LEAST: f64 = 16.0;
 const MOST: f64 = 400.0;
 /// Times up to this are never taken for overload.
 const FINE: Duration = Duration::from_millis(150);
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -16,6 +16,7 @@
     number: usize,
     page: Page,
     guards: Vec<Guard>,
+    starts: bool,
     bytes: usize,
 }
 
@@ -162,7 +163,7 @@
         let old = job.pages.get(number);
         let mut page = old.map(|p| p.record.clone()).unwrap_or_default();
         let mut machines = BTreeSet::new();
-        let mut changed = false;
+        let (mut changed, mut starts) = (false, false);
         for (task, entry) in changes {
             let slot = *task as usize % core.replica.page_len;
             let before = page.get(slot);
@@ -171,6 +172,12 @@
             }
             if let Entry::Placed { machine, .. } = entry {
                 machines.insert(machine.clone());
+                starts = true;
+            }
+            // What was seen of a task holds as long as its machine is ours: a next owner may have
+            // started what we saw absent. A machine that is gone has no key, and mark 0.
+            if let Entry::Placed { machine, .. } = &before {
+                machines.insert(machine.clone());
             }
             page.set(slot, entry.clone());
             changed = true;
@@ -188,7 +195,7 @@
                 mark: job.page_mark(*number),
             },
         ];
-        if !machines.is_empty() {
+        if starts {
             // The team may have gone to another controller, which places it from then on.
             let mark = core.replica.shares.as_ref().map_or(0, |s| s.mark);
             guards.push(Guard {
@@ -209,11 +216,12 @@
             number: *number,
             page,
             guards,
+            starts,
             bytes,
         });
     }
     // Starts first: a task waits for each of them, and nobody waits for an exit's record.
-    dirty.sort_by_key(|d| d.guards.len() == 2);
+    dirty.sort_by_key(|d| !d.starts);
     dirty
 }
 
@@ -289,3 +297,76 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::membership::shares::Member;
+    use crate::state::client::Pair;
+    use serde_json::{Value, json};
+    use std::time::Instant;
+
+    fn machine(owner: &str) -> Value {
+        json!({"owner":{"name":owner,"incarnation":1},"addr":"","kind":"m","zone":"a",
+            "spot":false,"hired_ms":0})
+    }
+
+    fn show(core: &Core) -> String {
+        let lines = dirty_pages(core).into_iter().map(|d| {
+            let guards: Vec<String> = d
+                .guards
+                .iter()
+                .map(|g| format!("{}@{}", g.k, g.mark))
+                .collect();
+            let page = serde_json::to_string(&d.page).unwrap();
+            format!("put {page} if {}\n", guards.join(" "))
+        });
+        let text: String = lines.collect();
+        if text.is_empty() {
+            "nothing\n".into()
+        } else {
+            text
+        }
+    }
+
+    /// Rule `ran_twice`, found by hunt: a node saw a withdrawn start absent, was cut off before it
+    /// could record that, and the machine's next owner started the task. When the cut ended, the
+    /// old owner's record of the absence was still accepted, and the task was placed again.
+    #[test]
+    fn what_was_seen_under_an_earlier_ownership_is_not_recorded() {
+        let mut core = Core::new(8, Instant::now());
+        let me = Member {
+            name: "me".into(),
+            incarnation: 1,
+        };
+        let job = json!({"spec": {"nameId":"job-1","grist":"c","crew":"t","shape":"array",
+            "urgency":"standard","sacks":2,"cpus":1.0,"cards":0.0,"memGb":1.0,"mould":"i",
+            "pullGb":1.0,"together":false,"spread":false,"borrowed":true,"grindS":10.0,
+            "bankS":0.0,"bankWriteS":0.0}, "accepted_ms": 0});
+        let pair = |k: &str, data, mark| Pair {
+            k: k.into(),
+            data,
+            mark,
+        };
+        core.replica.reset(
+            vec![
+                pair("r/j/job-1", job, 5),
+                pair("r/m/vm-1", machine("me"), 6),
+                pair("r/p/job-1/0", json!([[1, "vm-1", 1]]), 7),
+            ],
+            8,
+        );
+        core.note_ownership(&me, Instant::now());
+        core.plan(&("job-1".into(), 0), Entry::Waiting { last: 1 });
+        let ours = show(&core);
+        core.replica.put("r/m/vm-1", machine("me"), 12);
+        core.note_ownership(&me, Instant::now());
+        let after = show(&core);
+        insta::assert_snapshot!(format!("seen as owner\n{ours}another's in between\n{after}"), @r#"
+        seen as owner
+        put [1] if r/j/job-1@5 r/p/job-1/0@7 r/m/vm-1@6
+        another's in between
+        nothing
+        "#);
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -79,8 +79,8 @@
     pub leading: Option<u64>,
     /// When machines changed hands last.
     pub shared_at: Option<Instant>,
-    /// Since when this node has owned each of its machines.
-    pub owned_since: HashMap<String, Instant>,
+    /// Since when this node has owned each of its machines under its present mark, and the mark.
+    pub owned: HashMap<String, (Instant, u64)>,
     pub overlay: Overlay,
     pub live: HashMap<String, Live>,
     pub stops: Stops,
@@ -117,24 +117,7 @@
             },
             state: StateClient::new(settings.endpoints.state, write_share),
             cloud: CloudClient::new(settings.endpoints.cloud),
-            core: Mutex::new(Core {
-                replica: Replica::new(settings.page_len()),
-                proof: None,
-                loaded: false,
-                lease: None,
-                lease_proof: None,
-                leading: None,
-                shared_at: None,
-                owned_since: HashMap::new(),
-                overlay: Overlay::new(),
-                live: HashMap::new(),
-                stops: Stops::new(),
-                learned: HashMap::new(),
-                failures: HashMap::new(),
-                kinds: Vec::new(),
-                rent: RentState::new(now),
-                stand_back_until: None,
-            }),
+            core: Mutex::new(Core::new(settings.page_len(), now)),
             sync_waiters: Mutex::default(),
             sync_wanted: Notify::new(),
             stirred: Notify::new(),
@@ -179,6 +162,27 @@
 }
 
 impl Core {
+    pub fn new(page_len: usize, now: Instant) -> Self {
+        Self {
+            replica: Replica::new(page_len),
+            proof: None,
+            loaded: false,
+            lease: None,
+            lease_proof: None,
+            leading: None,
+            shared_at: None,
+            owned: HashMap::new(),
+            overlay: Overlay::new(),
+            live: HashMap::new(),
+            stops: Stops::new(),
+            learned: HashMap::new(),
+            failures: HashMap::new(),
+            kinds: Vec::new(),
+            rent: RentState::new(now),
+            stand_back_until: None,
+        }
+    }
+
     /// Where a task stands, with what is about to be recorded.
     pub fn entry(&self, job: &str, task: u32) -> Entry {
         let page = self.replica.page_of(task);
@@ -234,17 +238,39 @@
         job.is_some_and(|job| self.replica.owner_of_team(&job.record.spec.team) == Some(me))
     }
 
-    /// Keeps what is known in memory to the machines that this node owns: what it saw under an
-    /// earlier ownership is void, as others may have acted since.
+    /// Keeps what is known in memory to the machines that this node owns.
     pub fn note_ownership(&mut self, me: &Member, now: Instant) {
         let machines = &self.replica.machines;
         let ours = |name: &String| machines.get(name).is_some_and(|k| k.record.owner == *me);
         self.live.retain(|name, _| ours(name));
-        self.owned_since.retain(|name, _| ours(name));
+        self.owned.retain(|name, _| ours(name));
         self.rent.closing.retain(|name, _| ours(name));
-        for (name, kept) in machines {
-            if kept.record.owner == *me {
-                self.owned_since.entry(name.clone()).or_insert(now);
+        let names: Vec<String> = machines.keys().filter(|n| ours(n)).cloned().collect();
+        for name in names {
+            self.note_mark(&name, now);
+        }
+    }
+
+    /// A new mark on an owned machine's key may mean that it was another's in between, who acted
+    /// on it: what was seen before is void, and what is true of it will be reported again.
+    pub fn note_mark(&mut self, name: &str, now: Instant) {
+        let Some(mark) = self.replica.machines.get(name).map(|k| k.mark) else {
+            return;
+        };
+        if self
+            .owned
+            .get(name)
+            .is_some_and(|(_, known)| *known == mark)
+        {
+            return;
+        }
+        self.owned.insert(name.to_owned(), (now, mark));
+        self.live.remove(name);
+        let on = self.replica.on.get(name).cloned().unwrap_or_default();
+        for (job, task) in on {
+            let page = self.replica.page_of(task);
+            if let Some(changes) = self.overlay.get_mut(&(job, page)) {
+                changes.remove(&task);
             }
         }
     }
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -694,7 +694,7 @@
     let (mut silent, mut heard) = (0, 0);
     for (name, kept) in &core.replica.machines {
         let record = &kept.record;
-        let Some(since) = core.owned_since.get(name) else {
+        let Some((since, _)) = core.owned.get(name) else {
             continue;
         };
         let empty = !core.replica.on.contains_key(name)
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -248,7 +248,7 @@
         if cancelled || withdrawn {
             // An earlier owner's `run` may still be under way until the worker has seen our
             // token; from then on only we could start it, and we will not.
-            if report.token >= token {
+            if report.token == token {
                 out.facts
                     .insert(id.clone(), Entry::Waiting { last: attempt });
             }
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -97,8 +97,11 @@
 /// Reads an owned machine's report into what is known and planned, and answers it.
 fn take(core: &mut Core, report: Report, now: Instant) -> Option<Answer> {
     let name = report.machine.clone();
-    let kept = core.replica.machines.get(&name)?;
-    let token = kept.mark;
+    core.note_mark(&name, now);
+    let token = core.replica.machines.get(&name)?.mark;
+    if report.token > token {
+        return None; // its key has changed hands since; the news has yet to reach us
+    }
     let cache_gb = core.kind(&report.kind).map_or(0.0, |k| k.cache_gb);
     let mut live = core
         .live
