Share machines by urgency and by what must run at once; move empty ones each second

Cause: shares went by all remaining work, so that a backlog of short best-effort tasks drew machines from controllers whose gangs had ten seconds to start.

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,15 +3,16 @@
 
 pub mod shares;
 
-use crate::node::Node;
-use crate::placement::Need;
-use crate::placement::views::{kinds_for, room_of};
+use crate::jobs::Urgency;
+use crate::node::{Node, age_s, wall_ms};
+use crate::placement::views::{due_after, kinds_for, room_of};
+use crate::placement::{By, Need};
 use crate::state::budget::Need as Budget;
 use crate::state::replica::{LeaderRecord, MachineRecord, PresenceRecord};
 use crate::state::{
     Guard, LEADER_KEY, Op, SHARES_KEY, TxnError, client::ReadError, machine_key, presence_key,
 };
-use shares::{Member, Shared, Shares, part_machines, part_teams};
+use shares::{Demand, Shared, Shares, part_machines, part_teams};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -157,7 +158,8 @@
     let replica = &core.replica;
     let present = replica.present();
     let mut load: BTreeMap<String, f64> = BTreeMap::new();
-    let mut work: Vec<(String, String, f64)> = Vec::new();
+    let now_ms = wall_ms();
+    let mut work: Vec<(String, String, Urgency, f64)> = Vec::new();
     for job in replica.jobs.values().filter(|j| !j.record.cancelled) {
         let spec = &job.record.spec;
         let pool = kinds_for(&core, spec).into_iter().next();
@@ -167,17 +169,26 @@
         let left = f64::from(spec.tasks - job.done.min(spec.tasks));
         let machines = Need::share(&spec.need(), &room_of(kind)) * left;
         *load.entry(spec.team.clone()).or_default() += machines;
-        work.push((spec.team.clone(), kind.name.clone(), machines));
+        // What has time need not all run at once.
+        let age = age_s(job.record.accepted_ms, now_ms);
+        let (due, by) = due_after(node, &core, spec, age);
+        let at_once = match by {
+            By::Start => 1.0,
+            By::End => (core.duration(spec) * 1.5 / (due - age).max(0.1)).clamp(0.2, 1.0),
+        };
+        let machines = machines * at_once;
+        work.push((spec.team.clone(), kind.name.clone(), spec.urgency, machines));
     }
     let teams = node.settings.params.teams.iter();
     let teams: Vec<String> = teams.map(|t| t.name.clone()).collect();
     let old = replica.shares.as_ref();
     let none = Shares::default();
     let shares = part_teams(&teams, &present, old.map_or(&none, |s| &s.record), &load);
-    let mut demand: BTreeMap<(Member, String), f64> = BTreeMap::new();
-    for (team, kind, machines) in work {
+    let mut demand = Demand::new();
+    for (team, kind, urgency, machines) in work {
         if let Some(member) = shares.teams.get(&team) {
-            *demand.entry((member.clone(), kind)).or_default() += machines;
+            let levels = demand.entry((member.clone(), kind)).or_default();
+            *levels.entry(urgency).or_default() += machines;
         }
     }
     // More at once than the limit on writes allows would be refused as a whole.
@@ -216,7 +227,7 @@
 /// Machines that change hands at a time while all controllers are there.
 const MOST_MOVED: usize = 1;
 /// How often they do.
-const SHARE_EVERY: Duration = Duration::from_secs(3);
+const SHARE_EVERY: Duration = Duration::from_secs(1);
 
 /// The leader's duty: everything belongs to a controller that is there, and machines follow the
 /// work. A machine whose key changes hands has a new mark, so that whatever its old owner still
--- a/src/membership/shares.rs
+++ b/src/membership/shares.rs
@@ -1,6 +1,7 @@
 //! Who places what: each team and each machine belongs to one controller. The leader decides,
 //! from the records alone.
 
+use crate::jobs::Urgency;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -104,31 +105,69 @@
 /// than this, in machines, it is not worth it.
 const LEAST_LACK: f64 = 1.2;
 
+fn least_of(machine: &Shared) -> f64 {
+    match machine.tasks {
+        0 => LEAST_LACK / 2.0,
+        _ => LEAST_LACK,
+    }
+}
+
+/// Machines that each controller's work would fill, by kind and urgency.
+pub type Demand = BTreeMap<(Member, String), BTreeMap<Urgency, f64>>;
+
+/// How many machines of a kind each should have: more urgent work first, in proportion where it
+/// lacks machines; what is left over goes by all the work.
+fn targets(
+    present: &BTreeSet<Member>,
+    kind: &str,
+    demand: &Demand,
+    total: f64,
+) -> BTreeMap<Member, f64> {
+    let wants = |m: &Member| demand.get(&(m.clone(), kind.to_owned()));
+    let mut targets: BTreeMap<Member, f64> = present.iter().map(|m| (m.clone(), 0.0)).collect();
+    let mut left = total;
+    let levels: BTreeSet<Urgency> = present
+        .iter()
+        .filter_map(wants)
+        .flat_map(|d| d.keys().copied())
+        .collect();
+    for level in levels.into_iter().rev() {
+        let at = |m: &Member| wants(m).and_then(|d| d.get(&level)).copied().unwrap_or(0.0);
+        let all: f64 = present.iter().map(at).sum();
+        if all <= 0.0 {
+            continue;
+        }
+        let part = (left / all).min(1.0);
+        for (member, target) in &mut targets {
+            *target += at(member) * part;
+        }
+        left -= all * part;
+    }
+    let all: f64 = targets.values().sum();
+    for target in targets.values_mut() {
+        *target += match all > 0.0 {
+            true => left * *target / all,
+            false => left / present.len() as f64,
+        };
+    }
+    targets
+}
+
 /// Which machines change hands, and to whom. Those whose owner is gone go where most is lacking.
 /// Beyond that, as many of each kind as the work of its teams would fill, in proportion where
 /// there are too few; emptiest machines first, and of those in use no more than `most` at a time.
 pub fn part_machines(
     machines: &[Shared],
     present: &BTreeSet<Member>,
-    demand: &BTreeMap<(Member, String), f64>,
+    demand: &Demand,
     most: usize,
 ) -> Vec<(String, Member)> {
     let mut moves = Vec::new();
     let kinds: BTreeSet<&String> = machines.iter().map(|m| &m.kind).collect();
     for kind in kinds {
         let ours: Vec<&Shared> = machines.iter().filter(|m| m.kind == *kind).collect();
-        let wants = |m: &Member| {
-            demand
-                .get(&(m.clone(), kind.clone()))
-                .copied()
-                .unwrap_or(0.0)
-        };
-        let all: f64 = present.iter().map(&wants).sum();
-        let total = ours.len() as f64;
-        let target = |m: &Member| match all > 0.0 {
-            true => total * wants(m) / all,
-            false => total / present.len() as f64,
-        };
+        let targets = targets(present, kind, demand, ours.len() as f64);
+        let target = |m: &Member| targets.get(m).copied().unwrap_or(0.0);
         let mut have: BTreeMap<&Member, f64> = present.iter().map(|m| (m, 0.0)).collect();
         for machine in &ours {
             if let Some(count) = have.get_mut(&machine.owner) {
@@ -150,7 +189,7 @@
             *have.get_mut(&taker).expect("present") += 1.0;
             moves.push((machine.name.clone(), taker));
         }
-        if all <= 0.0 {
+        if !demand.keys().any(|(_, k)| k == kind) {
             continue; // nobody needs any: moving them about helps nobody
         }
         let mut candidates: Vec<&&Shared> =
@@ -162,10 +201,10 @@
                 break;
             };
             let surplus = have[&machine.owner] - target(&machine.owner);
-            if (moved >= most && machine.tasks > 0) || lack < LEAST_LACK {
+            if (moved >= most && machine.tasks > 0) || lack < least_of(machine) {
                 break;
             }
-            if surplus < LEAST_LACK || machine.owner == taker {
+            if surplus < least_of(machine) || machine.owner == taker {
                 continue;
             }
             *have.get_mut(&machine.owner).expect("present") -= 1.0;
@@ -234,15 +273,30 @@
             shared("vm-5", &gone, 2),
         ];
         let present = BTreeSet::from([a.clone(), b.clone()]);
-        let demand = BTreeMap::from([((a, "m".to_string()), 1.0), ((b, "m".to_string()), 4.0)]);
-        let moves = part_machines(&machines, &present, &demand, 4);
-        let text: String = moves
-            .iter()
-            .map(|(m, to)| format!("{m} to {}\n", to.name))
-            .collect();
-        insta::assert_snapshot!(text, @r"
+        let wants = |member: &Member, urgency, n: f64| {
+            (
+                (member.clone(), "m".to_string()),
+                BTreeMap::from([(urgency, n)]),
+            )
+        };
+        let show = |demand: &Demand| -> String {
+            part_machines(&machines, &present, demand, 4)
+                .iter()
+                .map(|(m, to)| format!("{m} to {}\n", to.name))
+                .collect()
+        };
+        let (low, high) = (Urgency::BestEffort, Urgency::Standard);
+        let alike = show(&BTreeMap::from([wants(&a, low, 1.0), wants(&b, low, 4.0)]));
+        let urgent = show(&BTreeMap::from([
+            wants(&a, high, 4.0),
+            wants(&b, low, 40.0),
+        ]));
+        insta::assert_snapshot!(format!("alike\n{alike}a's is more urgent\n{urgent}"), @r"
+        alike
         vm-5 to b
         vm-2 to b
+        a's is more urgent
+        vm-5 to a
         ");
     }
 }
