--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -373,64 +373,12 @@
     }
 }
 
-/// Which jobs give way where not all can be in time. Earliest deadline first makes everybody late
-/// once there is too much; so whenever the work up to a job's deadline is more than its kind of
-/// machine can do by then, the job with most work left among those so far goes behind the others.
-/// That leaves the fewest jobs late (Moore and Hodgson's rule, on the fleet as one machine).
-pub fn defer(jobs: &[JobView], machines: &[MachineView]) -> Vec<bool> {
-    let mut deferred = vec![false; jobs.len()];
-    let mut pools: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
-    for (index, job) in jobs.iter().enumerate() {
-        if let Some(kind) = job.kinds.first() {
-            pools.entry(kind).or_default().push(index);
-        }
-    }
-    for (kind, mut order) in pools {
-        let chunks = || {
-            let ours = machines.iter().filter(|m| m.kind == kind);
-            ours.flat_map(|m| m.chunks.iter())
-        };
-        let mut room = Need::default();
-        chunks().for_each(|c| room.add(&c.room));
-        // What runs now must end first: its room is taken until then.
-        let mut done_by: f64 = chunks().map(|c| c.room.share(&room) * c.at).sum();
-        let work = |j: &JobView| j.need.share(&room) * j.duration * j.waiting.len() as f64;
-        order.sort_by(|a, b| jobs[*a].due.total_cmp(&jobs[*b].due));
-        let mut kept: Vec<usize> = Vec::new();
-        for index in order {
-            let job = &jobs[index];
-            done_by += work(job);
-            kept.push(index);
-            let due = match job.by {
-                By::Start => job.due + job.duration,
-                By::End => job.due,
-            };
-            if done_by <= due.max(0.0) {
-                continue;
-            }
-            let most = kept
-                .iter()
-                .enumerate()
-                .max_by(|a, b| work(&jobs[*a.1]).total_cmp(&work(&jobs[*b.1])));
-            if let Some((place, &largest)) = most {
-                deferred[largest] = true;
-                done_by -= work(&jobs[largest]);
-                kept.remove(place);
-            }
-        }
-    }
-    deferred
-}
-
 /// Maps waiting tasks, at most so many. `startup_count` tasks of each job are startup tasks.
 pub fn map(jobs: &[JobView], machines: &[MachineView], startup_count: u32, most: usize) -> Mapping {
     let mut batch: Vec<usize> = (0..jobs.len()).collect();
-    let deferred = defer(jobs, machines);
     batch.sort_by(|a, b| {
         let first = jobs[*b].guaranteed.cmp(&jobs[*a].guaranteed);
-        first
-            .then(deferred[*a].cmp(&deferred[*b]))
-            .then(jobs[*a].due.total_cmp(&jobs[*b].due))
+        first.then(jobs[*a].due.total_cmp(&jobs[*b].due))
     });
     let mut startup: Vec<usize> = (0..jobs.len()).collect();
     startup.sort_by(|a, b| jobs[*a].arrived.total_cmp(&jobs[*b].arrived));
