--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -27,7 +27,7 @@
             beta: 0.2,
             theta: 10.0,
             k: 1.0,
-            period_s: 10.0,
+            period_s: 5.0,
             hold_s: 45.0,
             startup_count: 2,
             start_by: 10.0,
