--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -23,6 +23,25 @@
     Critical,
 }
 
+impl Urgency {
+    const ALL: [Urgency; 4] = [
+        Urgency::BestEffort,
+        Urgency::Standard,
+        Urgency::Urgent,
+        Urgency::Critical,
+    ];
+
+    /// Its name on the wire and in policies.
+    pub fn name(self) -> &'static str {
+        match self {
+            Urgency::BestEffort => "best_effort",
+            Urgency::Standard => "standard",
+            Urgency::Urgent => "urgent",
+            Urgency::Critical => "critical",
+        }
+    }
+}
+
 /// A job as its user describes it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -97,13 +116,11 @@
             "group" => Shape::Gang,
             _ => return Err(SpecError::Invalid("shape")),
         };
-        let urgency = match text(&map, "urgency")?.as_str() {
-            "critical" => Urgency::Critical,
-            "urgent" => Urgency::Urgent,
-            "standard" => Urgency::Standard,
-            "best_effort" => Urgency::BestEffort,
-            _ => return Err(SpecError::Invalid("urgency")),
-        };
+        let urgency = text(&map, "urgency")?;
+        let urgency = Urgency::ALL
+            .into_iter()
+            .find(|u| u.name() == urgency)
+            .ok_or(SpecError::Invalid("urgency"))?;
         let tasks = match map.get("sacks").ok_or(SpecError::Missing("sacks"))? {
             Value::Number(n) => whole(n).filter(|n| (1..=MOST_TASKS).contains(n)),
             _ => None,
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,7 @@
 mod workers;
 
 use clap::{Parser, Subcommand};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -31,25 +31,29 @@
 enum Command {
     /// Run one controller until it is killed
     Serve {
+        /// The operators' policy; what it leaves out is as in the embedded one
+        #[arg(long)]
+        policy: Option<PathBuf>,
         /// The settings file that the platform hands over
         #[arg(long)]
         config: PathBuf,
     },
-    /// Check a settings file, and say what is wrong with it
+    /// Check a settings file, a policy or both, and say what is wrong
     Check {
+        /// The policy to check
+        #[arg(long, required_unless_present = "config")]
+        policy: Option<PathBuf>,
         /// The settings file to check
         #[arg(long)]
-        config: PathBuf,
+        config: Option<PathBuf>,
     },
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let outcome = match cli.command {
-        Command::Serve { config } => serve(config),
-        Command::Check { config } => settings::Settings::load(&config)
-            .map(|_| println!("{}: fine", config.display()))
-            .map_err(|e| e.to_string()),
+        Command::Serve { config, policy } => serve(&config, policy.as_deref()),
+        Command::Check { config, policy } => check(config.as_deref(), policy.as_deref()),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -82,8 +86,24 @@
     }
 }
 
-fn serve(config: PathBuf) -> Result<(), String> {
-    let settings = settings::Settings::load(&config).map_err(|e| e.to_string())?;
+fn check(config: Option<&Path>, policy: Option<&Path>) -> Result<(), String> {
+    if let Some(path) = config {
+        settings::Settings::load(path).map_err(|e| e.to_string())?;
+        println!("{}: fine", path.display());
+    }
+    if let Some(path) = policy {
+        policy::Policy::load(path).map_err(|e| e.to_string())?;
+        println!("{}: fine", path.display());
+    }
+    Ok(())
+}
+
+fn serve(config: &Path, policy: Option<&Path>) -> Result<(), String> {
+    let settings = settings::Settings::load(config).map_err(|e| e.to_string())?;
+    let policy = match policy {
+        Some(path) => policy::Policy::load(path).map_err(|e| e.to_string())?,
+        None => policy::Policy::default(),
+    };
     start_log();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -97,7 +117,7 @@
         };
         let api_listener = bind(settings.api_addr).await?;
         let mesh_listener = bind(settings.mesh_addr).await?;
-        let node = Arc::new(node::Node::new(settings, policy::Policy::default()));
+        let node = Arc::new(node::Node::new(settings, policy));
         tracing::info!(incarnation = node.me.incarnation, "starting");
         tokio::spawn(state::follow::run(node.clone()));
         tokio::spawn(state::follow::serve_syncs(node.clone()));
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -48,7 +48,7 @@
         if !core.replica.jobs.is_empty() || !core.replica.machines.is_empty() {
             renting::service::look_ahead(node, &mut core, &views, now, now_ms);
         }
-        let startup = node.policy.knobs.startup_count;
+        let startup = node.policy.startup_count;
         let mapping = map(&views.jobs, &views.machines, startup, MOST_IN_TICK);
         plan(&mut core, &mut views, &mapping);
         make_room(node, &mut core, &views, &mapping);
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -4,6 +4,7 @@
 use super::{By, Chunk, JobView, MachineView, Need};
 use crate::jobs::{Entry, JobSpec, Shape};
 use crate::node::{Core, Node, age_s};
+use crate::policy::JobFacts;
 use crate::workers::{TaskId, TaskState};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Instant;
@@ -62,6 +63,15 @@
     kinds.into_iter().map(|k| k.name.clone()).collect()
 }
 
+fn start_by(node: &Node, spec: &JobSpec) -> f64 {
+    node.policy.start_by(&JobFacts {
+        class: &spec.class,
+        urgency: spec.urgency.name(),
+        tasks: f64::from(spec.tasks),
+        estimate: spec.estimate_s,
+    })
+}
+
 /// A job's time, in seconds after its arrival: the earliest of the aims on its class, and its own
 /// deadline, that it can still keep. One that has missed them all counts as undated: it no longer
 /// goes ahead of work that can still be in time.
@@ -94,7 +104,7 @@
         .filter(can_keep)
         .min_by(|a, b| a.0.total_cmp(&b.0))
         // Undated: started by arrival plus so many estimates.
-        .unwrap_or((expected * node.policy.knobs.start_by, By::Start))
+        .unwrap_or_else(|| (expected * start_by(node, spec), By::Start))
 }
 
 /// Tasks recorded, about to be recorded, or reported on a machine.
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -2,39 +2,10 @@
 
 pub mod service;
 
+use crate::policy::Bands;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// The open values of the design, which operators may set.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Knobs {
-    pub alpha: f64,
-    pub beta: f64,
-    pub theta: f64,
-    /// Least value of k.
-    pub k: f64,
-    pub period_s: f64,
-    pub hold_s: f64,
-    pub startup_count: u32,
-    /// Undated tasks start by arrival plus so many estimates.
-    pub start_by: f64,
-}
-
-impl Default for Knobs {
-    fn default() -> Self {
-        Self {
-            alpha: 0.02,
-            beta: 0.2,
-            theta: 10.0,
-            k: 1.0,
-            period_s: 5.0,
-            hold_s: 45.0,
-            startup_count: 2,
-            start_by: 10.0,
-        }
-    }
-}
-
 /// What a controller publishes each period for a kind of machine; the leader sums them.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Outlook {
@@ -106,13 +77,13 @@
 }
 
 /// The periodic rule (the paper's algorithm 1).
-pub fn periodic(outlook: &Outlook, knobs: &Knobs, k: f64) -> Verdict {
+pub fn periodic(outlook: &Outlook, bands: &Bands, k: f64) -> Verdict {
     let (now, next) = (outlook.rate_now(), outlook.rate_next());
     let change = next - now;
-    if change >= 0.0 && next >= knobs.beta {
-        let n = (k.max(knobs.k) * next / knobs.beta).floor() as u32;
+    if change >= 0.0 && next >= bands.beta {
+        let n = (k.max(bands.k) * next / bands.beta).floor() as u32;
         Verdict::Rent(n.max(1))
-    } else if change <= 0.0 && outlook.rate_of_all() <= knobs.alpha {
+    } else if change <= 0.0 && outlook.rate_of_all() <= bands.alpha {
         Verdict::Return
     } else {
         Verdict::Keep
@@ -120,9 +91,9 @@
 }
 
 /// The remedial rule (equation 2), less what is booting.
-pub fn remedial(startup: u32, booting: u32, knobs: &Knobs) -> u32 {
+pub fn remedial(startup: u32, booting: u32, bands: &Bands) -> u32 {
     let ns = f64::from(startup) - 1.0;
-    let n = (ns / (knobs.theta * knobs.beta)).floor().max(0.0) as u32;
+    let n = (ns / (bands.theta * bands.beta)).floor().max(0.0) as u32;
     n.saturating_sub(booting)
 }
 
@@ -135,11 +106,11 @@
 
 /// The machines to stop placing on, least remaining hold first. The paper's one, and with it all
 /// whose hold is over and that nothing was mapped to: one a period would pay for a fleet that
-/// nobody needs. At least `keep` stay.
-pub fn to_return(held: &[Held], up: usize, keep: usize) -> Vec<&Held> {
+/// nobody needs. No more than there are.
+pub fn to_return(held: &[Held], up: usize) -> Vec<&Held> {
     let mut over: Vec<&Held> = held.iter().filter(|h| h.remaining_hold_s <= 0.0).collect();
     over.sort_by(|a, b| a.remaining_hold_s.total_cmp(&b.remaining_hold_s));
-    over.truncate(up.saturating_sub(keep));
+    over.truncate(up);
     over
 }
 
@@ -159,7 +130,12 @@
 
     #[test]
     fn bands_and_formulas() {
-        let knobs = Knobs::default();
+        let bands = Bands {
+            alpha: 0.02,
+            beta: 0.2,
+            theta: 10.0,
+            k: 1.0,
+        };
         let mut trace = String::new();
         for (now, next, k) in [
             ((0, 10), (0, 10), 1.0),
@@ -171,11 +147,11 @@
             ((3, 10), (0, 10), 1.0),
             ((0, 0), (0, 0), 1.0),
         ] {
-            let verdict = periodic(&outlook(now, next), &knobs, k);
+            let verdict = periodic(&outlook(now, next), &bands, k);
             trace.push_str(&format!("now {now:?} next {next:?} k {k} -> {verdict:?}\n"));
         }
         for (startup, booting) in [(0, 0), (1, 0), (2, 0), (3, 0), (16, 0), (16, 5), (16, 9)] {
-            let n = remedial(startup, booting, &knobs);
+            let n = remedial(startup, booting, &bands);
             trace.push_str(&format!(
                 "startup {startup} booting {booting} -> rent {n}\n"
             ));
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -1,13 +1,14 @@
 //! The leader's renting: period events, remedies, the rentals and releases themselves, and what
 //! the cloud's list tells.
 
-use super::{Held, Knobs, Outlook, OutlookRecord, Verdict, periodic, remedial, to_return};
+use super::{Held, Outlook, OutlookRecord, Verdict, periodic, remedial, to_return};
 use crate::cloud::{CloudError, MOST_RELEASED, Rental};
 use crate::membership;
 use crate::membership::shares::Member;
 use crate::node::{Core, Node, age_s, wall_ms};
 use crate::placement::views::{Views, kinds_for, room_of};
 use crate::placement::{Mapping, map};
+use crate::policy::KindFacts;
 use crate::state::replica::{HireRecord, MachineRecord};
 use crate::state::{Guard, LEADER_KEY, Op, hire_key, machine_key, outlook_key};
 use std::collections::{BTreeMap, HashMap};
@@ -30,6 +31,15 @@
     pub finished_late: u32,
 }
 
+/// Smoothed arrivals and finishes per period over the whole fleet, and the arrivals as they were
+/// before the last period.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Flow {
+    arrivals: f64,
+    finishes: f64,
+    usual: f64,
+}
+
 pub struct RentState {
     /// When this controller looks ahead next.
     pub next_event: Instant,
@@ -44,8 +54,7 @@
     /// Offers that were refused, and until when they are not asked for.
     pub refused: HashMap<(String, String, bool), Instant>,
     pub tally: HashMap<String, Tally>,
-    /// Smoothed arrivals and finishes per period.
-    pub flow: HashMap<String, (f64, f64)>,
+    pub flow: HashMap<String, Flow>,
     pub rented_in_all: u32,
     /// To be published: what this node expects.
     pub outlook: Option<OutlookRecord>,
@@ -79,34 +88,30 @@
 
 /// Makes up what this controller publishes: at each period, and when its startup queue grew.
 pub fn look_ahead(node: &Node, core: &mut Core, views: &Views, now: Instant, now_ms: u64) {
-    let knobs = node.policy.knobs;
+    let startup_count = node.policy.startup_count;
     let due = now >= core.rent.next_event;
-    if !due && !startup_grew(core, views, &knobs, now) {
+    if !due && !startup_grew(core, views, startup_count, now) {
         return;
     }
-    let mapping = map(
-        &views.jobs,
-        &views.machines,
-        knobs.startup_count,
-        usize::MAX,
-    );
+    let mapping = map(&views.jobs, &views.machines, startup_count, usize::MAX);
     let mut record = OutlookRecord {
         at_ms: now_ms,
-        kinds: outlooks(node, core, views, &mapping, &knobs),
+        kinds: outlooks(node, core, views, &mapping),
     };
     for (kind, outlook) in &mut record.kinds {
         outlook.booting = booting(core, &node.me, kind);
-        outlook.held = held(core, &node.me, kind, &mapping, &knobs, now_ms);
-        outlook.arrived = arrived(node, core, kind, knobs.period_s, now_ms);
+        outlook.held = held(node, core, kind, &mapping, now_ms);
+        outlook.arrived = arrived(node, core, kind, now_ms);
     }
     if due {
-        core.rent.next_event = now + Duration::from_secs_f64(knobs.period_s);
+        core.rent.next_event = now + Duration::from_secs_f64(node.policy.period_s);
         core.rent.tally.clear();
+        note_flow(node, core, now_ms);
     }
     core.rent.outlook = Some(record);
 }
 
-fn startup_grew(core: &Core, views: &Views, knobs: &Knobs, now: Instant) -> bool {
+fn startup_grew(core: &Core, views: &Views, startup_count: u32, now: Instant) -> bool {
     let Some((at, record)) = &core.rent.published else {
         return true;
     };
@@ -114,18 +119,18 @@
         return false;
     }
     let published: u32 = record.kinds.values().map(|o| o.startup).sum();
-    let length: u32 = startup_queues(views, knobs).values().sum();
+    let length: u32 = startup_queues(views, startup_count).values().sum();
     // The remedial rule takes off one and divides: less than two more changes nothing.
     length >= published + 2
 }
 
 /// Startup tasks waiting, per kind.
-fn startup_queues(views: &Views, knobs: &Knobs) -> BTreeMap<String, u32> {
+fn startup_queues(views: &Views, startup_count: u32) -> BTreeMap<String, u32> {
     let mut queues: BTreeMap<String, u32> = BTreeMap::new();
     for (index, job) in views.jobs.iter().enumerate() {
         if !views.hopeless[index] {
             let left = job.waiting.len() as u32;
-            let queue = knobs.startup_count.saturating_sub(job.begun).min(left);
+            let queue = startup_count.saturating_sub(job.begun).min(left);
             *queues.entry(views.pools[index].clone()).or_default() += queue;
         }
     }
@@ -138,10 +143,9 @@
     core: &Core,
     views: &Views,
     mapping: &Mapping,
-    knobs: &Knobs,
 ) -> BTreeMap<String, Outlook> {
     let mut pools: BTreeMap<String, Outlook> = BTreeMap::new();
-    let queues = startup_queues(views, knobs);
+    let queues = startup_queues(views, node.policy.startup_count);
     for kind in &core.kinds {
         let tally = core.rent.tally.get(&kind.name).copied().unwrap_or_default();
         let outlook = Outlook {
@@ -204,13 +208,14 @@
 /// The leader's event, at each period: the controllers' figures are summed, and per kind of
 /// machine it rents, returns or keeps.
 pub fn event(node: &Node, core: &mut Core, now_ms: u64) {
-    let knobs = node.policy.knobs;
-    for (kind, outlook) in summed(core, &knobs, now_ms) {
-        let flow = core.rent.flow.entry(kind.clone()).or_default();
-        flow.0 = flow.0 * 0.7 + f64::from(outlook.arrived) * 0.3;
-        flow.1 = flow.1 * 0.7 + f64::from(outlook.finished) * 0.3;
-        let k = (flow.0 / flow.1.max(1.0)).clamp(1.0, MOST_K);
-        let verdict = periodic(&outlook, &knobs, k);
+    for (kind, outlook) in summed(node, core, now_ms) {
+        let Some(facts) = facts(core, &kind, &outlook) else {
+            continue;
+        };
+        let bands = node.policy.bands(&facts);
+        let flow = core.rent.flow.get(&kind).copied().unwrap_or_default();
+        let k = (flow.arrivals / flow.finishes.max(1.0)).clamp(1.0, MOST_K);
+        let verdict = periodic(&outlook, &bands, k);
         tracing::info!(
             kind,
             now = outlook.rate_now(),
@@ -233,7 +238,15 @@
             Verdict::Return => {
                 let all = core.replica.machines.values();
                 let up = all.filter(|m| m.record.kind == kind).count();
-                for machine in to_return(&outlook.held, up, 0) {
+                let may = |held: &&Held| {
+                    let kept = core.replica.machines.get(&held.name);
+                    kept.is_some_and(|k| {
+                        node.policy
+                            .may_return(&facts, &k.record.zone, k.record.spot)
+                    })
+                };
+                let free: Vec<Held> = outlook.held.iter().filter(may).cloned().collect();
+                for machine in to_return(&free, up) {
                     tracing::info!(machine = machine.name, "returning");
                     core.rent.to_return.push(machine.name.clone());
                 }
@@ -244,13 +257,13 @@
 }
 
 /// What the controllers that are there published, summed per kind.
-fn summed(core: &Core, knobs: &Knobs, now_ms: u64) -> BTreeMap<String, Outlook> {
+fn summed(node: &Node, core: &Core, now_ms: u64) -> BTreeMap<String, Outlook> {
     let mut sums: BTreeMap<String, Outlook> = BTreeMap::new();
     for member in core.replica.present() {
         let Some(kept) = core.replica.outlooks.get(&member.name) else {
             continue;
         };
-        if age_s(kept.record.at_ms, now_ms) > knobs.period_s * 2.5 {
+        if age_s(kept.record.at_ms, now_ms) > (node.policy.period_s * 2.5).max(15.0) {
             continue; // from before it ended, or it has not come to publish: too old to act on
         }
         for (kind, outlook) in &kept.record.kinds {
@@ -260,8 +273,33 @@
     sums
 }
 
+fn note_flow(node: &Node, core: &mut Core, now_ms: u64) {
+    for (kind, outlook) in summed(node, core, now_ms) {
+        let flow = core.rent.flow.entry(kind).or_default();
+        flow.usual = flow.arrivals;
+        flow.arrivals = flow.arrivals * 0.7 + f64::from(outlook.arrived) * 0.3;
+        flow.finishes = flow.finishes * 0.7 + f64::from(outlook.finished) * 0.3;
+    }
+}
+
+/// What the operators' expressions may name of a kind of machine.
+fn facts<'a>(core: &Core, kind: &'a str, outlook: &Outlook) -> Option<KindFacts<'a>> {
+    let known = core.kind(kind)?;
+    let flow = core.rent.flow.get(kind).copied().unwrap_or_default();
+    Some(KindFacts {
+        kind,
+        cpus: known.cpus,
+        gpus: known.gpus,
+        price: known.price,
+        arrived: f64::from(outlook.arrived),
+        usual: flow.usual,
+        waiting: f64::from(outlook.counted_next),
+    })
+}
+
 /// Tasks of a kind's jobs that came within the last period.
-fn arrived(node: &Node, core: &Core, kind: &str, period_s: f64, now_ms: u64) -> u32 {
+fn arrived(node: &Node, core: &Core, kind: &str, now_ms: u64) -> u32 {
+    let period_s = node.policy.period_s;
     let jobs = core.replica.jobs.values();
     jobs.map(|job| &job.record)
         .filter(|r| core.replica.owner_of_team(&r.spec.team) == Some(&node.me))
@@ -273,16 +311,19 @@
 
 /// The leader, between events: rent by the startup queues' length.
 pub fn remedy(node: &Node, core: &mut Core, now: Instant, now_ms: u64) {
-    let knobs = node.policy.knobs;
-    let period = Duration::from_secs_f64(knobs.period_s);
-    for (kind, outlook) in summed(core, &knobs, now_ms) {
+    let period = Duration::from_secs_f64(node.policy.period_s);
+    for (kind, outlook) in summed(node, core, now_ms) {
         let last = core.rent.last_remedy.get(&kind);
         if last.is_some_and(|last| now.saturating_duration_since(*last) < period) {
             continue;
         }
         let wished = core.rent.wishes.iter().filter(|w| w.kind == kind);
         let coming = outlook.booting + wished.map(|w| w.count).sum::<u32>();
-        let count = remedial(outlook.startup, coming, &knobs);
+        let Some(facts) = facts(core, &kind, &outlook) else {
+            continue;
+        };
+        let bands = node.policy.bands(&facts);
+        let count = remedial(outlook.startup, coming, &bands);
         if count == 0 {
             continue;
         }
@@ -323,19 +364,16 @@
 
 /// Own machines past their hold that are idle and that nothing was mapped to. By the second
 /// nothing is paid ahead, so that the hold begins anew with each use.
-fn held(
-    core: &Core,
-    me: &Member,
-    kind: &str,
-    mapping: &Mapping,
-    knobs: &Knobs,
-    now_ms: u64,
-) -> Vec<Held> {
+fn held(node: &Node, core: &Core, kind: &str, mapping: &Mapping, now_ms: u64) -> Vec<Held> {
+    let fleet = summed(node, core, now_ms).remove(kind).unwrap_or_default();
+    let Some(facts) = facts(core, kind, &fleet) else {
+        return Vec::new();
+    };
     let machines = core.replica.machines.iter();
     machines
         .filter(|(name, m)| {
             m.record.kind == kind
-                && m.record.owner == *me
+                && m.record.owner == node.me
                 && !m.record.returning
                 && !core.rent.closing.contains_key(*name)
                 && !core.serves_its_purpose(name, kind)
@@ -346,7 +384,8 @@
             let age = age_s(m.record.hired_ms, now_ms);
             Some(Held {
                 name: name.clone(),
-                remaining_hold_s: knobs.hold_s - unused.min(age),
+                remaining_hold_s: node.policy.hold_s(&facts, &m.record.zone, m.record.spot)
+                    - unused.min(age),
             })
         })
         .filter(|h| h.remaining_hold_s <= 0.0)
@@ -403,7 +442,7 @@
     let (now, now_ms) = (Instant::now(), wall_ms());
     let mut core = node.core();
     if core.rent.leader_event.is_none_or(|at| at <= now) {
-        let period = Duration::from_secs_f64(node.policy.knobs.period_s);
+        let period = Duration::from_secs_f64(node.policy.period_s);
         core.rent.leader_event = Some(now + period);
         event(node, &mut core, now_ms);
     }
