--- a/src/membership/shares.rs
+++ b/src/membership/shares.rs
@@ -116,7 +116,8 @@
 pub type Demand = BTreeMap<(Member, String), BTreeMap<Urgency, f64>>;
 
 /// How many machines of a kind each should have: more urgent work first, in proportion where it
-/// lacks machines; what is left over goes by all the work.
+/// lacks machines. What nobody's work would fill stays where it is: moving it would only begin
+/// its hold anew.
 fn targets(
     present: &BTreeSet<Member>,
     kind: &str,
@@ -143,13 +144,6 @@
         }
         left -= all * part;
     }
-    let all: f64 = targets.values().sum();
-    for target in targets.values_mut() {
-        *target += match all > 0.0 {
-            true => left * *target / all,
-            false => left / present.len() as f64,
-        };
-    }
     targets
 }
 
