--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -167,7 +167,9 @@
         for (task, entry) in changes {
             let slot = *task as usize % core.replica.page_len;
             let before = page.get(slot);
-            if before == *entry {
+            // Another controller may have recorded the same exit, and the task's next start,
+            // since this was planned.
+            if !applies(&before, entry) {
                 continue;
             }
             if let Entry::Placed { machine, .. } = entry {
@@ -237,6 +239,18 @@
     }
 }
 
+/// Whether a planned change still follows from what the records hold.
+fn applies(held: &Entry, planned: &Entry) -> bool {
+    match (held, planned) {
+        (held, planned) if held == planned => false,
+        (Entry::Done, _) => false,
+        (_, Entry::Done) => true,
+        (Entry::Placed { attempt, .. }, Entry::Waiting { last }) => attempt == last,
+        (Entry::Waiting { .. }, Entry::Waiting { .. }) => false,
+        (held, Entry::Placed { attempt, .. }) => held.last_attempt() < *attempt,
+    }
+}
+
 /// Forgets planned changes that the records now hold, or that no longer apply to them.
 fn settle(core: &mut Core) {
     let replica = &core.replica;
@@ -252,15 +266,7 @@
         };
         for (task, entry) in changes {
             let held = job.entry(core.replica.page_len, task);
-            let applies = match (&held, &entry) {
-                (held, entry) if held == entry => false,
-                (Entry::Done, _) => false,
-                (_, Entry::Done) => true,
-                (Entry::Placed { attempt, .. }, Entry::Waiting { last }) => attempt == last,
-                (Entry::Waiting { .. }, Entry::Waiting { .. }) => false,
-                (held, Entry::Placed { attempt, .. }) => held.last_attempt() < *attempt,
-            };
-            if applies {
+            if applies(&held, &entry) {
                 let key = (id.clone(), number);
                 core.overlay.entry(key).or_default().insert(task, entry);
             }
@@ -334,6 +340,23 @@
     /// old owner's record of the absence was still accepted, and the task was placed again.
     #[test]
     fn what_was_seen_under_an_earlier_ownership_is_not_recorded() {
+        let (me, mut core) = core();
+        core.note_ownership(&me, Instant::now());
+        core.plan(&("job-1".into(), 0), Entry::Waiting { last: 1 });
+        let ours = show(&core);
+        core.replica.put("r/m/vm-1", machine("me"), 12);
+        core.note_ownership(&me, Instant::now());
+        let after = show(&core);
+        insta::assert_snapshot!(format!("seen as owner\n{ours}another's in between\n{after}"), @r#"
+        seen as owner
+        put [1] if r/j/job-1@5 r/p/job-1/0@7 r/m/vm-1@6
+        another's in between
+        nothing
+        "#);
+    }
+
+    /// A job with a task on vm-1, which is ours.
+    fn core() -> (Member, Core) {
         let mut core = Core::new(8, Instant::now());
         let me = Member {
             name: "me".into(),
@@ -356,17 +379,30 @@
             ],
             8,
         );
+        (me, core)
+    }
+
+    /// Rule `ran_twice`, found by hunt: an exit waited to be recorded while its machine changed
+    /// hands. The next owner recorded it, the task was started again elsewhere, and then the first
+    /// record came and took the new start for the old one.
+    #[test]
+    fn an_exit_does_not_undo_a_later_start() {
+        let (me, mut core) = core();
         core.note_ownership(&me, Instant::now());
         core.plan(&("job-1".into(), 0), Entry::Waiting { last: 1 });
-        let ours = show(&core);
-        core.replica.put("r/m/vm-1", machine("me"), 12);
+        core.replica.put("r/m/vm-2", machine("other"), 12);
+        let page = json!([[2, "vm-2", 1]]);
+        core.replica.put("r/p/job-1/0", page, 13);
+        let later = show(&core);
+        core.replica.put("r/p/job-1/0", json!([[1, "vm-1", 1]]), 14);
+        core.replica.put("r/m/vm-1", machine("other"), 15);
         core.note_ownership(&me, Instant::now());
-        let after = show(&core);
-        insta::assert_snapshot!(format!("seen as owner\n{ours}another's in between\n{after}"), @r#"
-        seen as owner
-        put [1] if r/j/job-1@5 r/p/job-1/0@7 r/m/vm-1@6
-        another's in between
+        let lost = show(&core);
+        insta::assert_snapshot!(format!("started again\n{later}machine lost\n{lost}"), @r"
+        started again
         nothing
-        "#);
+        machine lost
+        nothing
+        ");
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -262,9 +262,13 @@
         let machines = &self.replica.machines;
         let ours = |name: &String| machines.get(name).is_some_and(|k| k.record.owner == *me);
         self.live.retain(|name, _| ours(name));
+        let lost: Vec<String> = self.owned.keys().filter(|n| !ours(n)).cloned().collect();
         self.owned.retain(|name, _| ours(name));
         self.rent.closing.retain(|name, _| ours(name));
         let names: Vec<String> = machines.keys().filter(|n| ours(n)).cloned().collect();
+        for name in lost {
+            self.forget_seen(&name);
+        }
         for name in names {
             self.note_mark(&name, now);
         }
@@ -284,6 +288,10 @@
             return;
         }
         self.owned.insert(name.to_owned(), (now, mark));
+        self.forget_seen(name);
+    }
+
+    fn forget_seen(&mut self, name: &str) {
         self.live.remove(name);
         let on = self.replica.on.get(name).cloned().unwrap_or_default();
         for (job, task) in on {
