--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,8 @@
 mod policy;
 mod renting;
 mod settings;
+#[cfg(test)]
+mod standins;
 mod state;
 mod workers;
 
@@ -109,24 +111,27 @@
         .enable_all()
         .build()
         .map_err(|e| format!("no runtime: {e}"))?;
-    runtime.block_on(async {
-        let bind = |addr| async move {
-            TcpListener::bind(addr)
-                .await
-                .map_err(|e| format!("cannot listen on {addr}: {e}"))
-        };
-        let api_listener = bind(settings.api_addr).await?;
-        let mesh_listener = bind(settings.mesh_addr).await?;
-        let node = Arc::new(node::Node::new(settings, policy));
-        tracing::info!(incarnation = node.me.incarnation, "starting");
-        tokio::spawn(state::follow::run(node.clone()));
-        tokio::spawn(state::follow::serve_syncs(node.clone()));
-        tokio::spawn(membership::run(node.clone()));
-        tokio::spawn(mesh::serve(node.clone(), mesh_listener));
-        tokio::spawn(mesh::ask(node.clone()));
-        tokio::spawn(placement::service::run(node.clone()));
-        tokio::spawn(renting::service::run(node.clone()));
-        api::run(node, api_listener).await;
-        Ok(())
-    })
+    runtime.block_on(run(settings, policy))
+}
+
+/// One controller, until its runtime ends.
+async fn run(settings: settings::Settings, policy: policy::Policy) -> Result<(), String> {
+    let bind = |addr| async move {
+        TcpListener::bind(addr)
+            .await
+            .map_err(|e| format!("cannot listen on {addr}: {e}"))
+    };
+    let api_listener = bind(settings.api_addr).await?;
+    let mesh_listener = bind(settings.mesh_addr).await?;
+    let node = Arc::new(node::Node::new(settings, policy));
+    tracing::info!(incarnation = node.me.incarnation, "starting");
+    tokio::spawn(state::follow::run(node.clone()));
+    tokio::spawn(state::follow::serve_syncs(node.clone()));
+    tokio::spawn(membership::run(node.clone()));
+    tokio::spawn(mesh::serve(node.clone(), mesh_listener));
+    tokio::spawn(mesh::ask(node.clone()));
+    tokio::spawn(placement::service::run(node.clone()));
+    tokio::spawn(renting::service::run(node.clone()));
+    api::run(node, api_listener).await;
+    Ok(())
 }
--- /dev/null
+++ b/src/standins/state.rs
@@ -0,0 +1,191 @@
+//! A state service: keys with marks, guarded changes, leases and the log.
+
+use super::{Asked, Reply};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+struct Held {
+    data: Value,
+    mark: u64,
+    lease: Option<u64>,
+}
+
+#[derive(Default)]
+struct Store {
+    ledger: u64,
+    keys: BTreeMap<String, Held>,
+    log: Vec<(u64, String, Value)>,
+    leases: HashMap<u64, (Instant, Duration)>,
+    out: bool,
+}
+
+#[derive(Clone, Default)]
+pub struct State(Arc<Mutex<Store>>);
+
+impl State {
+    /// Begins or ends an outage; after it every lease has its full time again.
+    pub fn set_out(&self, out: bool) {
+        let mut store = self.0.lock().unwrap();
+        store.out = out;
+        let now = Instant::now();
+        for (until, ttl) in store.leases.values_mut() {
+            *until = now + *ttl;
+        }
+    }
+
+    pub fn handler(&self) -> Arc<dyn Fn(Asked) -> Reply + Send + Sync> {
+        let state = self.clone();
+        Arc::new(move |asked| {
+            let state = state.clone();
+            Box::pin(async move {
+                if asked.path == "/follow" {
+                    return state.follow(&asked).await;
+                }
+                let mut store = state.0.lock().unwrap();
+                if store.out {
+                    return (503, json!({"error": "trouble"}));
+                }
+                store.end_leases();
+                store.handle(&asked)
+            })
+        })
+    }
+
+    async fn follow(&self, asked: &Asked) -> (u16, Value) {
+        let from: u64 = asked.query["from"].parse().unwrap();
+        let hold = Duration::from_millis(asked.query["holdMs"].parse().unwrap());
+        let until = Instant::now() + hold;
+        loop {
+            {
+                let mut store = self.0.lock().unwrap();
+                if store.out && hold.is_zero() {
+                    return (503, json!({"error": "trouble"}));
+                }
+                if !store.out {
+                    store.end_leases();
+                    let log = store.since(&asked.query["prefix"], from);
+                    if !log.is_empty() || Instant::now() >= until {
+                        return (200, json!({"ledger": store.ledger, "log": log}));
+                    }
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+impl Store {
+    fn since(&self, prefix: &str, from: u64) -> Vec<Value> {
+        let log = self.log.iter();
+        log.filter(|(mark, key, _)| *mark > from && key.starts_with(prefix))
+            .map(|(mark, key, data)| match data {
+                Value::Null => json!({"drop": key, "mark": mark}),
+                data => json!({"set": key, "data": data, "mark": mark}),
+            })
+            .collect()
+    }
+
+    fn end_leases(&mut self) {
+        let now = Instant::now();
+        self.leases.retain(|_, (until, _)| *until > now);
+        let keys = self.keys.iter();
+        let gone: Vec<String> = keys
+            .filter(|(_, held)| held.lease.is_some_and(|l| !self.leases.contains_key(&l)))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in gone {
+            self.ledger += 1;
+            self.keys.remove(&key);
+            self.log.push((self.ledger, key, Value::Null));
+        }
+    }
+
+    fn handle(&mut self, asked: &Asked) -> (u16, Value) {
+        let parts: Vec<&str> = asked.path.trim_matches('/').split('/').collect();
+        let method = asked.method.as_str();
+        match (method, parts.as_slice()) {
+            ("POST", ["multi"]) => self.multi(&asked.body),
+            ("POST", ["leases"]) => {
+                let ttl = Duration::from_millis(asked.body["ttlMs"].as_u64().unwrap());
+                self.ledger += 1;
+                self.leases.insert(self.ledger, (Instant::now() + ttl, ttl));
+                (200, json!({"tenancy": self.ledger}))
+            }
+            ("POST", ["leases", id, "extend"]) => match self.leases.get_mut(&id.parse().unwrap()) {
+                Some((until, ttl)) => {
+                    *until = Instant::now() + *ttl;
+                    (200, json!({}))
+                }
+                None => (404, json!({})),
+            },
+            ("DELETE", ["leases", id]) => {
+                self.leases.remove(&id.parse().unwrap());
+                self.end_leases();
+                (200, json!({}))
+            }
+            ("GET", ["store"]) => {
+                let prefix = &asked.query["prefix"];
+                let from = asked.query.get("from").cloned().unwrap_or_default();
+                let keys = self.keys.iter();
+                let pairs: Vec<Value> = keys
+                    .filter(|(key, _)| key.starts_with(prefix.as_str()) && **key > from)
+                    .map(|(key, held)| json!({"k": key, "data": held.data, "mark": held.mark}))
+                    .collect();
+                (
+                    200,
+                    json!({"pairs": pairs, "more": false, "ledger": self.ledger}),
+                )
+            }
+            ("GET", ["store", ..]) => {
+                let key = asked.path.trim_start_matches("/store/");
+                match self.keys.get(key) {
+                    Some(held) => (200, json!({"k": key, "data": held.data, "mark": held.mark})),
+                    None => (404, json!({"ledger": self.ledger})),
+                }
+            }
+            _ => (400, json!({"error": "malformed"})),
+        }
+    }
+
+    fn multi(&mut self, body: &Value) -> (u16, Value) {
+        let none = Vec::new();
+        let guards = body["guards"].as_array().unwrap_or(&none).iter();
+        let failed: Vec<&str> = guards
+            .filter(|guard| {
+                let held = self.keys.get(guard["k"].as_str().unwrap());
+                held.map_or(0, |h| h.mark) != guard["mark"].as_u64().unwrap()
+            })
+            .map(|guard| guard["k"].as_str().unwrap())
+            .collect();
+        if !failed.is_empty() {
+            return (409, json!({"failed": failed, "ledger": self.ledger}));
+        }
+        let then = body["then"].as_array().cloned().unwrap_or_default();
+        let lease_over = |op: &Value| {
+            let lease = op["tenancy"].as_u64();
+            lease.is_some_and(|l| !self.leases.contains_key(&l))
+        };
+        if then.iter().any(lease_over) {
+            return (400, json!({"error": "no such lease"}));
+        }
+        self.ledger += 1;
+        for op in then {
+            if let Some(key) = op["set"].as_str() {
+                let held = Held {
+                    data: op["data"].clone(),
+                    mark: self.ledger,
+                    lease: op["tenancy"].as_u64(),
+                };
+                self.log.push((self.ledger, key.into(), held.data.clone()));
+                self.keys.insert(key.into(), held);
+            } else if let Some(key) = op["drop"].as_str()
+                && self.keys.remove(key).is_some()
+            {
+                self.log.push((self.ledger, key.into(), Value::Null));
+            }
+        }
+        (200, json!({"ledger": self.ledger}))
+    }
+}
