--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -139,9 +139,12 @@
 
 fn end_standing_back(node: &Node) {
     let mut core = node.core();
-    if core
-        .stand_back_until
-        .is_some_and(|until| until <= Instant::now())
+    // If all stand back at once, the machines are gone rather than the ways to them.
+    let alone = core.replica.presence.is_empty();
+    if alone
+        || core
+            .stand_back_until
+            .is_some_and(|until| until <= Instant::now())
     {
         core.stand_back_until = None;
     }
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -715,6 +715,9 @@
     }
 }
 
+/// How long a node that cannot hear its workers leaves them to others.
+const STAND_BACK: Duration = Duration::from_secs(20);
+
 /// Machines to be released now.
 fn to_close(node: &Node) -> Vec<String> {
     let now = Instant::now();
@@ -730,6 +733,9 @@
     let report = node.settings.report_every();
     let silence = node.settings.lease().mul_f64(1.02) + Duration::from_millis(500);
     let mut close: Vec<(String, &'static str)> = Vec::new();
+    // Silence for so long on most machines is noticed early, while another controller can still
+    // take them over before their workers' leases are out.
+    let unheard_for = node.settings.lease().mul_f64(0.4).max(report * 2);
     let (mut silent, mut heard) = (0, 0);
     for (name, kept) in &core.replica.machines {
         let record = &kept.record;
@@ -747,16 +753,18 @@
         match core.live.get(name) {
             Some(live) => {
                 let quiet = now.saturating_duration_since(live.heard);
+                match quiet > unheard_for {
+                    true => silent += 1,
+                    false => heard += 1,
+                }
                 let taken = live
                     .taken_at
                     .is_some_and(|at| now > at && quiet > report + Duration::from_secs(2));
                 if taken {
                     close.push((name.clone(), "taken by the cloud"));
                 } else if quiet > silence {
-                    silent += 1;
                     close.push((name.clone(), "silent"));
                 } else {
-                    heard += 1;
                     let idle = live
                         .report
                         .tasks
@@ -785,7 +793,7 @@
         // Most machines fell silent at once: more likely this node cannot hear them. Others may;
         // releasing them all would throw their work away.
         tracing::info!(silent, heard, "cannot hear most machines: standing back");
-        core.stand_back_until = Some(now + Duration::from_secs(30));
+        core.stand_back_until = Some(now + STAND_BACK);
         return Vec::new();
     }
     close.truncate(MOST_RELEASED.min(node.settings.params.state.txn_ops));
