--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -91,9 +91,24 @@
     pub slowness: f64,
     /// CPUs kept for each GPU, so that work without GPUs does not make them idle.
     pub cpus_per_gpu: f64,
+    /// An hour's price.
+    pub price: f64,
 }
 
 impl MachineView {
+    /// The part of its room that is free now, as a small tie-breaker between equal prices.
+    fn emptiness(&self) -> f64 {
+        let (mut free, mut all) = (Need::default(), Need::default());
+        for chunk in &self.chunks {
+            all.add(&chunk.room);
+            if chunk.at <= SLACK {
+                free.add(&chunk.room);
+            }
+        }
+        let part = |free: f64, all: f64| if all > SLACK { free / all } else { 0.0 };
+        (part(free.cpus, all.cpus) + part(free.gpus, all.gpus)) * 0.001
+    }
+
     /// The earliest time at which so much is free.
     fn start_for(&self, need: &Need) -> Option<f64> {
         let mut room = Need::default();
@@ -174,6 +189,8 @@
     pub due: f64,
     pub by: By,
     pub duration: f64,
+    /// When a task would end on a machine rented now.
+    pub cure: f64,
     pub image: String,
     pub image_gb: f64,
     /// How many more tasks its team may have on machines.
@@ -189,12 +206,23 @@
     pub machine: usize,
 }
 
+/// Counts of a job's mapped tasks.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Mapped {
+    pub tasks: u32,
+    /// Expected to be late.
+    pub late: u32,
+    /// Of the late ones, those that a machine rented now would finish sooner. For the others
+    /// renting cures nothing.
+    pub curable: u32,
+}
+
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Mapping {
     /// Tasks that can start now.
     pub starts: Vec<Start>,
-    /// Per job: tasks mapped, and of these the ones expected to be late.
-    pub mapped: Vec<(u32, u32)>,
+    /// Per job, what was mapped.
+    pub mapped: Vec<Mapped>,
     /// Machines that work of their sort was mapped to.
     pub used: HashSet<String>,
 }
@@ -207,7 +235,7 @@
 }
 
 fn best(job: &JobView, zones: &Zones, machines: &[MachineView]) -> Option<Best> {
-    let mut found: Option<Best> = None;
+    let mut found: Option<(Best, f64)> = None;
     for (index, machine) in machines.iter().enumerate() {
         if !allowed(job, zones, machine) {
             continue;
@@ -217,18 +245,31 @@
         };
         let fetch = fetch_time(job, machine);
         let end = start + fetch + job.duration * machine.slowness;
-        if found.as_ref().is_none_or(|f| end < f.end - SLACK) {
-            found = Some(Best {
+        // Estimates are not exact to the second: among ends that are as good as equal, the
+        // cheapest machine and then the fullest, so that others fall idle and go back.
+        let near = job.duration * NEAR;
+        let rank = machine.price + machine.emptiness();
+        let better = match &found {
+            None => true,
+            Some((best, _)) if end < best.end - near => true,
+            Some((best, least)) => end < best.end + near && rank < *least - SLACK,
+        };
+        if better {
+            let best = Best {
                 machine: index,
                 start,
                 fetch,
                 end,
-            });
+            };
+            found = Some((best, rank));
         }
     }
-    found
+    found.map(|(best, _)| best)
 }
 
+/// Ends within this part of the run time count as equal.
+const NEAR: f64 = 0.05;
+
 fn fetch_time(job: &JobView, machine: &MachineView) -> f64 {
     if machine.images.contains(&job.image) {
         0.0
@@ -291,14 +332,10 @@
                 machine: at.machine,
             });
         }
-        self.count(job, 1, late);
-    }
-
-    fn count(&mut self, job: usize, tasks: u32, late: bool) {
-        self.out.mapped[job].0 += tasks;
-        if late {
-            self.out.mapped[job].1 += tasks;
-        }
+        let mapped = &mut self.out.mapped[job];
+        mapped.tasks += 1;
+        mapped.late += u32::from(late);
+        mapped.curable += u32::from(late && at.end > view.cure);
     }
 
     fn left(&self, job: usize) -> bool {
@@ -368,7 +405,10 @@
     /// No machine can take it: all of it counts as late, and it waits.
     fn skip(&mut self, job: usize) {
         let rest = (self.jobs[job].waiting.len() - self.progress[job].next) as u32;
-        self.count(job, rest, true);
+        let mapped = &mut self.out.mapped[job];
+        mapped.tasks += rest;
+        mapped.late += rest;
+        mapped.curable += rest;
         self.progress[job].next = self.jobs[job].waiting.len();
     }
 }
@@ -396,7 +436,7 @@
             .collect(),
         machines: machines.to_vec(),
         out: Mapping {
-            mapped: vec![(0, 0); count],
+            mapped: vec![Mapped::default(); count],
             ..Mapping::default()
         },
     };
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -59,7 +59,7 @@
     });
     for index in order {
         let job = &jobs[index];
-        let late = mapping.mapped[index].1;
+        let late = mapping.mapped[index].late;
         if late == 0 || (job.gang && job.waiting.len() > 1) {
             continue;
         }
@@ -133,6 +133,7 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::Mapped;
     use super::super::tests::{job, machine};
     use super::*;
 
@@ -167,7 +168,11 @@
             ),
         ]);
         let late = Mapping {
-            mapped: vec![(1, 1)],
+            mapped: vec![Mapped {
+                tasks: 1,
+                late: 1,
+                curable: 1,
+            }],
             ..Mapping::default()
         };
         let mut trace = String::new();
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -18,6 +18,7 @@
         fetch_gb_per_s: 1.0,
         slowness: 1.0,
         cpus_per_gpu: 0.0,
+        price: 1.0,
     }
 }
 
@@ -43,6 +44,7 @@
         due,
         by: By::End,
         duration: 30.0,
+        cure: 60.0,
         image: "i".into(),
         image_gb: 1.0,
         quota: 1000,
@@ -59,8 +61,11 @@
             jobs[s.job].id, s.task, machines[s.machine].name
         ));
     }
-    for (job, (mapped, late)) in jobs.iter().zip(&out.mapped) {
-        text.push_str(&format!("{}: {late} of {mapped} late\n", job.id));
+    for (job, mapped) in jobs.iter().zip(&out.mapped) {
+        text.push_str(&format!(
+            "{}: {} of {} late\n",
+            job.id, mapped.late, mapped.tasks
+        ));
     }
     text
 }
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -212,6 +212,17 @@
     views
 }
 
+/// When a task would end on a machine of its kind rented now.
+fn cure(core: &Core, spec: &JobSpec, kind: Option<&String>) -> f64 {
+    let Some(kind) = kind.and_then(|k| core.kind(k)) else {
+        return 0.0;
+    };
+    kind.boot_s * BOOT + spec.image_gb / kind.fetch_gb_per_s.max(0.001) + core.duration(spec)
+}
+
+/// The expected boot time over the catalogue's.
+const BOOT: f64 = 1.1;
+
 fn job_view(
     node: &Node,
     core: &Core,
@@ -246,6 +257,8 @@
         return None;
     }
     let quota = quota_left(spec, rooms);
+    let kinds = kinds_for(core, spec);
+    let cure = cure(core, spec, kinds.first());
     let age = age_s(job.record.accepted_ms, now_ms);
     let (due, by) = due_after(node, core, spec, age);
     let failed_on = core.failures.get(&spec.id).map(|f| f.machines.clone());
@@ -253,7 +266,7 @@
         id: spec.id.clone(),
         gang,
         need: spec.need(),
-        kinds: kinds_for(core, spec),
+        kinds,
         zone: spec.zone.clone(),
         spot: spec.spot,
         one_zone: spec.one_zone,
@@ -266,6 +279,7 @@
         due: due - age,
         by,
         duration: core.duration(spec),
+        cure,
         image: spec.image.clone(),
         image_gb: spec.image_gb,
         quota,
@@ -400,7 +414,7 @@
         }
         let up_in = match live {
             Some(_) => 0.0,
-            None => (kind.boot_s * 1.1 - age_s(record.hired_ms, now_ms)).max(1.0),
+            None => (kind.boot_s * BOOT - age_s(record.hired_ms, now_ms)).max(1.0),
         };
         let mut room = room_of(kind);
         let mut chunks: Vec<Chunk> = Vec::new();
@@ -434,6 +448,11 @@
             images,
             fetch_gb_per_s: kind.fetch_gb_per_s,
             slowness: live.map_or(1.0, |l| l.slowness),
+            price: if record.spot {
+                kind.spot_price
+            } else {
+                kind.price
+            },
             cpus_per_gpu: if kind.gpus > 0.0 {
                 kind.cpus / kind.gpus * KEPT_FOR_GPUS
             } else {
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -172,16 +172,16 @@
             continue;
         };
         let pool = pools.entry(name.clone()).or_default();
-        let (mapped, late) = mapping.mapped[index];
+        let mapped = mapping.mapped[index];
         let waiting = job.waiting.len() as u32;
         pool.counted_now += waiting;
         if job.due < 0.0 {
             pool.late_now += waiting;
         }
-        pool.counted_next += mapped;
-        pool.late_next += late;
+        pool.counted_next += mapped.tasks;
+        pool.late_next += mapped.curable;
         let turns = turns(job.due, job.duration, kind.boot_s);
-        let machines = job.need.share(&room_of(kind)) * f64::from(late) / turns;
+        let machines = job.need.share(&room_of(kind)) * f64::from(mapped.curable) / turns;
         pool.wanted += machines;
         if job.spot {
             pool.wanted_spot += machines;
