--- a/src/api/limit.rs
+++ b/src/api/limit.rs
@@ -1,11 +1,15 @@
 //! A limit on requests in progress that follows measured times: while answers take no longer
 //! than usual it grows, when they slow down it shrinks. What is over it is refused at once.
 
+use hdrhistogram::Histogram;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 const LEAST: f64 = 16.0;
 const MOST: f64 = 400.0;
+const LONGEST: Duration = Duration::from_secs(60);
+/// Times from which the median is taken.
+const WINDOW: u64 = 200;
 /// Times up to this are never taken for overload.
 const FINE: Duration = Duration::from_millis(150);
 
@@ -13,8 +17,10 @@
 struct State {
     limit: f64,
     in_progress: u32,
-    /// Smoothed time, slow to rise: what an answer takes without a queue.
-    usual_s: f64,
+    /// Times in microseconds since the usual one was last taken from them.
+    recent: Histogram<u32>,
+    /// The median of times, slow to rise: what an answer takes without a queue.
+    usual: Duration,
 }
 
 #[derive(Debug)]
@@ -28,13 +34,29 @@
     since: Instant,
 }
 
+impl State {
+    fn note(&mut self, took: Duration) {
+        let longest = LONGEST.as_micros() as u64;
+        let micros = (took.as_micros() as u64).clamp(1, longest);
+        self.recent.saturating_record(micros);
+        if self.recent.len() >= WINDOW {
+            let median = Duration::from_micros(self.recent.value_at_quantile(0.5));
+            // Slowly up: times under a lasting overload must not come to count as usual.
+            self.usual = median.min(self.usual.mul_f64(1.1));
+            self.recent.reset();
+        }
+    }
+}
+
 impl Limit {
     pub fn new() -> Self {
         Self {
             state: Mutex::new(State {
                 limit: 32.0,
                 in_progress: 0,
-                usual_s: 0.02,
+                recent: Histogram::new_with_bounds(1, LONGEST.as_micros() as u64, 2)
+                    .expect("constant bounds"),
+                usual: Duration::from_millis(20),
             }),
         }
     }
@@ -56,11 +78,8 @@
     pub fn finish(&self, took: Duration) {
         let mut state = self.state.lock().unwrap();
         state.in_progress = state.in_progress.saturating_sub(1);
-        let took_s = took.as_secs_f64();
-        let weight = if took_s < state.usual_s { 0.1 } else { 0.01 };
-        state.usual_s += (took_s - state.usual_s) * weight;
-        let bound = (state.usual_s * 3.0).max(FINE.as_secs_f64());
-        if took_s > bound {
+        state.note(took);
+        if took > (state.usual * 3).max(FINE) {
             state.limit = (state.limit * 0.95).max(LEAST);
         } else if f64::from(state.in_progress) * 2.0 > state.limit {
             state.limit = (state.limit + 1.0 / state.limit).min(MOST);
