--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -233,10 +233,7 @@
             Verdict::Rent(n) => {
                 // Booting machines took part in the mapping: what is late is late despite them.
                 let count = n.min(outlook.wanted.ceil().max(1.0) as u32);
-                let count = count.saturating_sub(fresh(core, &kind));
-                if count > 0 {
-                    wish(core, &kind, &outlook, count);
-                }
+                wish(core, &kind, &outlook, count);
             }
             Verdict::Return => {
                 let all = core.replica.machines.values();
@@ -321,7 +318,7 @@
             continue;
         }
         let wished = core.rent.wishes.iter().filter(|w| w.kind == kind);
-        let coming = outlook.booting + fresh(core, &kind) + wished.map(|w| w.count).sum::<u32>();
+        let coming = outlook.booting + wished.map(|w| w.count).sum::<u32>();
         let Some(facts) = facts(core, &kind, &outlook) else {
             continue;
         };
@@ -342,19 +339,6 @@
     }
 }
 
-/// Machines that their owner's published outlook cannot have counted: rented, or come to it, since.
-/// Without this the same late tasks would rent twice.
-fn fresh(core: &Core, kind: &str) -> u32 {
-    let machines = core.replica.machines.values();
-    machines
-        .filter(|m| m.record.kind == kind && !m.record.returning)
-        .filter(|m| {
-            let outlook = core.replica.outlooks.get(&m.record.owner.name);
-            outlook.is_none_or(|o| o.mark < m.mark)
-        })
-        .count() as u32
-}
-
 /// Own machines of a kind that are not up yet.
 fn booting(core: &Core, me: &Member, kind: &str) -> u32 {
     let machines = core.replica.machines.iter();
