--- a/src/standins/mod.rs
+++ b/src/standins/mod.rs
@@ -18,6 +18,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
@@ -63,9 +64,13 @@
     Ok(response)
 }
 
+/// An address that stays free over a controller's restarts: a loopback host of its own, which no
+/// outgoing connection is given, as could happen with a port of 127.0.0.1 that was only probed.
 fn free_addr() -> SocketAddr {
-    let probe = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    probe.local_addr().unwrap()
+    static USED: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let own = USED.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 1 + high % 250, low, own], 7070))
 }
 
 /// The addresses of a controller, kept over its restarts.
