Rent for all predicted misses again, not only for those that renting cures

Ruled out: equal ends going to the fuller machine, in both. Conclusion: misses that come too early to be cured stand for the work that comes next.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -189,8 +189,6 @@
     pub due: f64,
     pub by: By,
     pub duration: f64,
-    /// When a task would end on a machine rented now.
-    pub cure: f64,
     pub image: String,
     pub image_gb: f64,
     /// How many more tasks its team may have on machines.
@@ -212,9 +210,6 @@
     pub tasks: u32,
     /// Expected to be late.
     pub late: u32,
-    /// Of the late ones, those that a machine rented now would finish sooner. For the others
-    /// renting cures nothing.
-    pub curable: u32,
 }
 
 #[derive(Debug, Default, Clone, PartialEq)]
@@ -335,7 +330,6 @@
         let mapped = &mut self.out.mapped[job];
         mapped.tasks += 1;
         mapped.late += u32::from(late);
-        mapped.curable += u32::from(late && at.end > view.cure);
     }
 
     fn left(&self, job: usize) -> bool {
@@ -408,7 +402,6 @@
         let mapped = &mut self.out.mapped[job];
         mapped.tasks += rest;
         mapped.late += rest;
-        mapped.curable += rest;
         self.progress[job].next = self.jobs[job].waiting.len();
     }
 }
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -168,11 +168,7 @@
             ),
         ]);
         let late = Mapping {
-            mapped: vec![Mapped {
-                tasks: 1,
-                late: 1,
-                curable: 1,
-            }],
+            mapped: vec![Mapped { tasks: 1, late: 1 }],
             ..Mapping::default()
         };
         let mut trace = String::new();
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -44,7 +44,6 @@
         due,
         by: By::End,
         duration: 30.0,
-        cure: 60.0,
         image: "i".into(),
         image_gb: 1.0,
         quota: 1000,
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -212,14 +212,6 @@
     views
 }
 
-/// When a task would end on a machine of its kind rented now.
-fn cure(core: &Core, spec: &JobSpec, kind: Option<&String>) -> f64 {
-    let Some(kind) = kind.and_then(|k| core.kind(k)) else {
-        return 0.0;
-    };
-    kind.boot_s * BOOT + spec.image_gb / kind.fetch_gb_per_s.max(0.001) + core.duration(spec)
-}
-
 /// The expected boot time over the catalogue's.
 const BOOT: f64 = 1.1;
 
@@ -258,7 +250,6 @@
     }
     let quota = quota_left(spec, rooms);
     let kinds = kinds_for(core, spec);
-    let cure = cure(core, spec, kinds.first());
     let age = age_s(job.record.accepted_ms, now_ms);
     let (due, by) = due_after(node, core, spec, age);
     let failed_on = core.failures.get(&spec.id).map(|f| f.machines.clone());
@@ -279,7 +270,6 @@
         due: due - age,
         by,
         duration: core.duration(spec),
-        cure,
         image: spec.image.clone(),
         image_gb: spec.image_gb,
         quota,
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -179,9 +179,9 @@
             pool.late_now += waiting;
         }
         pool.counted_next += mapped.tasks;
-        pool.late_next += mapped.curable;
+        pool.late_next += mapped.late;
         let turns = turns(job.due, job.duration, kind.boot_s);
-        let machines = job.need.share(&room_of(kind)) * f64::from(mapped.curable) / turns;
+        let machines = job.need.share(&room_of(kind)) * f64::from(mapped.late) / turns;
         pool.wanted += machines;
         if job.spot {
             pool.wanted_spot += machines;
