--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -39,8 +39,6 @@
 pub struct Listed {
     #[serde(rename = "nameId")]
     pub name: String,
-    #[serde(rename = "endpoint", default)]
-    pub addr: String,
     #[serde(rename = "stone")]
     pub kind: String,
     #[serde(rename = "yard")]
--- /dev/null
+++ b/src/counts.rs
@@ -0,0 +1,100 @@
+//! What a period cost this node: counted as it goes, and logged each period.
+
+use crate::node::Node;
+use crate::state::client::Used;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+#[derive(Debug)]
+pub struct Counts {
+    since: Instant,
+    pub reports: u64,
+    pub polls: u64,
+    pub submitted: u64,
+    pub ticks: u64,
+    pub starts: u64,
+    /// Pages recorded for starts and for exits alone, and jobs moved to their end.
+    pub start_pages: u64,
+    pub exit_pages: u64,
+    /// Of these, pages of jobs that another controller places.
+    pub others_pages: u64,
+    pub ended: u64,
+    /// Machines looked at by the mapping, and views made anew because something changed.
+    pub steps: u64,
+    pub views: u64,
+    /// Time spent placing, of which the longest turn.
+    pub placing: Duration,
+    pub longest: Duration,
+    before: [u64; 5],
+}
+
+impl Counts {
+    pub fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            reports: 0,
+            polls: 0,
+            submitted: 0,
+            ticks: 0,
+            starts: 0,
+            start_pages: 0,
+            exit_pages: 0,
+            others_pages: 0,
+            ended: 0,
+            steps: 0,
+            views: 0,
+            placing: Duration::ZERO,
+            longest: Duration::ZERO,
+            before: [0; 5],
+        }
+    }
+}
+
+fn read(used: &Used) -> [u64; 5] {
+    [
+        &used.requests,
+        &used.puts,
+        &used.guards,
+        &used.refused,
+        &used.followed_bytes,
+    ]
+    .map(|c: &AtomicU64| c.load(Ordering::Relaxed))
+}
+
+/// Logs what the period that ends now took, and begins the next.
+pub fn log_period(node: &Node, now: Instant) {
+    let all = read(&node.state.used);
+    let mut core = node.core();
+    let before = core.counts.before;
+    let [requests, puts, guards, refused, bytes] = std::array::from_fn(|i| all[i] - before[i]);
+    let c = &core.counts;
+    tracing::info!(
+        seconds = now.saturating_duration_since(c.since).as_secs_f64(),
+        c.reports,
+        c.polls,
+        c.submitted,
+        c.ticks,
+        c.starts,
+        c.start_pages,
+        c.exit_pages,
+        c.others_pages,
+        c.ended,
+        c.steps,
+        c.views,
+        placing_ms = c.placing.as_millis() as u64,
+        longest_ms = c.longest.as_millis() as u64,
+        requests,
+        puts,
+        guards,
+        refused,
+        bytes,
+        owned = core.workers.owned.len(),
+        machines = core.replica.fleet.machines.len(),
+        jobs = core.replica.jobs.len(),
+        "counts"
+    );
+    core.counts = Counts {
+        before: all,
+        ..Counts::new(now)
+    };
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,341 @@
+//! The fleet as the records hold it: one record per rental, which names the owner and the token
+//! of each of its machines. So a thousand boots or a takeover cost a put per rental rather than
+//! one per machine, and a page's guards name rentals, of which there are few.
+
+use crate::membership::shares::Member;
+use crate::state::replica::Kept;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashSet, VecDeque};
+
+/// What may be done with a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Use {
+    Open,
+    /// No more is placed on it; it goes back when empty.
+    Returning,
+    /// Its release was decided and may be sent at any time.
+    Closing,
+}
+
+/// A machine of a rental.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rented {
+    pub name: String,
+    pub owner: Member,
+    /// Rises with each change of owner, under the guard of the rental's key: whatever an earlier
+    /// owner still answers carries a lower one, and the worker drops it.
+    pub token: u64,
+    pub state: Use,
+}
+
+/// The durable record of a rental. It is written before the request is sent, with no machines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Wire", into = "Wire")]
+pub struct Rental {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub count: u32,
+    pub hired_ms: u64,
+    /// The cloud has not answered yet.
+    pub open: bool,
+    pub machines: Vec<Rented>,
+}
+
+/// As written: each owner once, machines as `[name, owner's place, token, use]`.
+#[derive(Clone, Serialize, Deserialize)]
+struct Wire {
+    kind: String,
+    zone: String,
+    spot: bool,
+    count: u32,
+    hired_ms: u64,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    open: bool,
+    owners: Vec<(String, u64)>,
+    machines: Vec<(String, usize, u64, u8)>,
+}
+
+impl From<Wire> for Rental {
+    fn from(wire: Wire) -> Self {
+        let owners = wire.owners;
+        let machines = wire.machines.into_iter();
+        Self {
+            kind: wire.kind,
+            zone: wire.zone,
+            spot: wire.spot,
+            count: wire.count,
+            hired_ms: wire.hired_ms,
+            open: wire.open,
+            machines: machines
+                .map(|(name, at, token, state)| {
+                    let owner = owners.get(at).cloned().unwrap_or_default();
+                    Rented {
+                        name,
+                        owner: Member {
+                            name: owner.0,
+                            incarnation: owner.1,
+                        },
+                        token,
+                        state: match state {
+                            0 => Use::Open,
+                            1 => Use::Returning,
+                            _ => Use::Closing,
+                        },
+                    }
+                })
+                .collect(),
+        }
+    }
+}
+
+impl From<Rental> for Wire {
+    fn from(rental: Rental) -> Self {
+        let mut owners: Vec<(String, u64)> = Vec::new();
+        let mut machines = Vec::with_capacity(rental.machines.len());
+        for machine in rental.machines {
+            let owner = (machine.owner.name, machine.owner.incarnation);
+            let at = owners.iter().position(|o| *o == owner);
+            let at = at.unwrap_or_else(|| {
+                owners.push(owner);
+                owners.len() - 1
+            });
+            machines.push((machine.name, at, machine.token, machine.state as u8));
+        }
+        Self {
+            kind: rental.kind,
+            zone: rental.zone,
+            spot: rental.spot,
+            count: rental.count,
+            hired_ms: rental.hired_ms,
+            open: rental.open,
+            owners,
+            machines,
+        }
+    }
+}
+
+/// The cloud's own limit on one request.
+const MOST_HIRED: usize = 50;
+/// What a machine takes at most in its rental's record, its share of the owners included, and
+/// what the rest of the record takes: names in the protocols are short, and these leave room.
+const MACHINE_BYTES: usize = 140;
+const HEAD_BYTES: usize = 700;
+
+/// Machines that one rental may ask for, so that its record fits a value of the state service
+/// whatever becomes of each of them.
+pub fn most_hired(value_bytes: usize) -> usize {
+    (value_bytes.saturating_sub(HEAD_BYTES) / MACHINE_BYTES).clamp(1, MOST_HIRED)
+}
+
+/// A recorded machine, with what its rental says of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Machine {
+    pub rental: String,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub hired_ms: u64,
+    pub owner: Member,
+    pub token: u64,
+    pub state: Use,
+}
+
+const MOST_GONE: usize = 8_000;
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub rentals: BTreeMap<String, Kept<Rental>>,
+    pub machines: BTreeMap<String, Machine>,
+    /// Machines whose record was dropped of late: lists and late reports may still name them.
+    gone: HashSet<String>,
+    gone_order: VecDeque<String>,
+    /// Machines whose record changed since they were last asked for.
+    changed: Vec<String>,
+}
+
+impl Fleet {
+    pub fn put(&mut self, name: &str, record: Rental, mark: u64) {
+        if self.rentals.get(name).is_some_and(|old| old.mark >= mark) {
+            return;
+        }
+        if let Some(old) = self.rentals.remove(name) {
+            for machine in old.record.machines {
+                if !record.machines.iter().any(|m| m.name == machine.name) {
+                    self.forget(machine.name);
+                }
+            }
+        }
+        for machine in &record.machines {
+            let machine_record = Machine {
+                rental: name.to_owned(),
+                kind: record.kind.clone(),
+                zone: record.zone.clone(),
+                spot: record.spot,
+                hired_ms: record.hired_ms,
+                owner: machine.owner.clone(),
+                token: machine.token,
+                state: machine.state,
+            };
+            if self.machines.get(&machine.name) != Some(&machine_record) {
+                self.machines.insert(machine.name.clone(), machine_record);
+                self.changed.push(machine.name.clone());
+            }
+        }
+        self.rentals.insert(name.to_owned(), Kept { record, mark });
+    }
+
+    pub fn remove(&mut self, name: &str, mark: u64) {
+        if self.rentals.get(name).is_none_or(|old| old.mark >= mark) {
+            return;
+        }
+        if let Some(old) = self.rentals.remove(name) {
+            for machine in old.record.machines {
+                self.forget(machine.name);
+            }
+        }
+    }
+
+    fn forget(&mut self, machine: String) {
+        self.machines.remove(&machine);
+        self.changed.push(machine.clone());
+        if self.gone.insert(machine.clone()) {
+            self.gone_order.push_back(machine);
+            if self.gone_order.len() > MOST_GONE
+                && let Some(oldest) = self.gone_order.pop_front()
+            {
+                self.gone.remove(&oldest);
+            }
+        }
+    }
+
+    /// Whether the machine was released as far as this process knows.
+    pub fn is_gone(&self, machine: &str) -> bool {
+        self.gone.contains(machine)
+    }
+
+    /// Keeps what never changes back over a new reading of all records.
+    pub fn reset(&mut self) {
+        let gone = std::mem::take(&mut self.gone);
+        let gone_order = std::mem::take(&mut self.gone_order);
+        let before = std::mem::take(&mut self.machines);
+        *self = Self {
+            gone,
+            gone_order,
+            changed: before.into_keys().collect(),
+            ..Self::default()
+        };
+    }
+
+    pub fn take_changed(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Rentals whose request may still be under way.
+    pub fn open(&self) -> impl Iterator<Item = (&String, &Rental)> {
+        let rentals = self.rentals.iter();
+        rentals
+            .filter(|(_, kept)| kept.record.open)
+            .map(|(name, kept)| (name, &kept.record))
+    }
+
+    /// The records of the rentals that `machines` belong to, each changed by `change`, which
+    /// returns false for a machine that leaves the record.
+    pub fn changed_by<'a>(
+        &self,
+        machines: impl IntoIterator<Item = &'a str>,
+        mut change: impl FnMut(&mut Rented) -> bool,
+    ) -> BTreeMap<String, Kept<Rental>> {
+        let mut out: BTreeMap<String, Kept<Rental>> = BTreeMap::new();
+        for name in machines {
+            let Some(machine) = self.machines.get(name) else {
+                continue;
+            };
+            let Some(kept) = self.rentals.get(&machine.rental) else {
+                continue;
+            };
+            let kept = out
+                .entry(machine.rental.clone())
+                .or_insert_with(|| kept.clone());
+            let machines = &mut kept.record.machines;
+            if let Some(at) = machines.iter().position(|m| m.name == name)
+                && !change(&mut machines[at])
+            {
+                machines.remove(at);
+            }
+        }
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn rental(machines: usize, name_bytes: usize) -> Rental {
+        let rented = |n: usize| Rented {
+            name: format!("{n:0name_bytes$}"),
+            owner: Member {
+                name: format!("controller-{:08}", n % 9),
+                incarnation: u64::MAX >> 12,
+            },
+            token: u64::MAX >> 11,
+            state: Use::Closing,
+        };
+        Rental {
+            kind: "a-kind-of-machine-with-a-long-name".into(),
+            zone: "a-zone-with-a-long-name".into(),
+            spot: true,
+            count: machines as u32,
+            hired_ms: u64::MAX >> 11,
+            open: true,
+            machines: (0..machines).map(rented).collect(),
+        }
+    }
+
+    /// A record that does not fit is refused for ever: whatever the limit on values, a rental
+    /// asks for no more machines than its record has room for.
+    #[test]
+    fn a_rental_fits_its_record_whatever_the_limit_on_values() {
+        let mut trace = String::new();
+        for kb in [1, 2, 8, 32] {
+            let most = most_hired(kb * 1024);
+            let bytes = serde_json::to_vec(&rental(most, 60)).unwrap().len();
+            assert!(bytes <= kb * 1024, "{most} machines take {bytes}");
+            let records = 1122_usize.div_ceil(most);
+            trace.push_str(&format!(
+                "{kb} KiB: {most} machines a rental; 1122 machines change hands with {records} puts\n"
+            ));
+        }
+        insta::assert_snapshot!(trace, @r"
+        1 KiB: 2 machines a rental; 1122 machines change hands with 561 puts
+        2 KiB: 9 machines a rental; 1122 machines change hands with 125 puts
+        8 KiB: 50 machines a rental; 1122 machines change hands with 23 puts
+        32 KiB: 50 machines a rental; 1122 machines change hands with 23 puts
+        ");
+    }
+
+    #[test]
+    fn a_change_of_owner_is_one_record_and_what_left_is_remembered() {
+        let mut fleet = Fleet::default();
+        fleet.put("r-1", rental(3, 4), 7);
+        let back: Rental =
+            serde_json::from_str(&serde_json::to_string(&rental(3, 4)).unwrap()).unwrap();
+        assert_eq!(back, rental(3, 4));
+        let changed = fleet.changed_by(["0000", "0002"], |m| {
+            m.token += 1;
+            m.name != "0002"
+        });
+        assert_eq!(changed.len(), 1);
+        let kept = changed["r-1"].clone();
+        assert_eq!(kept.mark, 7, "the guard is the mark that was read");
+        fleet.put("r-1", kept.record, 9);
+        assert!(fleet.is_gone("0002") && !fleet.machines.contains_key("0002"));
+        assert_eq!(fleet.machines["0000"].token, (u64::MAX >> 11) + 1);
+        fleet.put("r-1", rental(3, 4), 7);
+        assert!(
+            !fleet.machines.contains_key("0002"),
+            "an older record came late"
+        );
+    }
+}
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -1,6 +1,8 @@
 //! Jobs as users describe them, and the durable records kept of them.
 
+pub mod learned;
 pub mod pages;
+pub mod plans;
 pub mod spec;
 pub mod writer;
 
--- a/src/jobs/pages.rs
+++ b/src/jobs/pages.rs
@@ -1,7 +1,8 @@
 //! Progress pages: for each task of a job, where it stands, in a form that fits one value.
 
-use serde::de::Error as _;
+use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::fmt::Formatter;
 
 /// Where one task stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,41 +37,54 @@
     }
 }
 
-#[derive(Serialize, Deserialize)]
-#[serde(untagged)]
-enum Wire {
-    Waiting(u64),
-    Placed(u64, String, u64),
-    Done(bool),
-}
-
 impl Serialize for Entry {
     fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
         match self {
-            Entry::Waiting { last } => Wire::Waiting(*last),
+            Entry::Waiting { last } => last.serialize(to),
             Entry::Placed {
                 attempt,
                 machine,
                 session,
-            } => Wire::Placed(*attempt, machine.clone(), *session),
-            Entry::Done => Wire::Done(true),
+            } => (attempt, machine, session).serialize(to),
+            Entry::Done => true.serialize(to),
+        }
+    }
+}
+
+/// Pages are most of what every node reads, so they are read in one pass.
+struct EntryReader;
+
+impl<'de> Visitor<'de> for EntryReader {
+    type Value = Entry;
+
+    fn expecting(&self, to: &mut Formatter) -> std::fmt::Result {
+        to.write_str("an attempt, `[attempt, machine, session]` or `true`")
+    }
+
+    fn visit_u64<E: Error>(self, last: u64) -> Result<Entry, E> {
+        Ok(Entry::Waiting { last })
+    }
+
+    fn visit_bool<E: Error>(self, done: bool) -> Result<Entry, E> {
+        match done {
+            true => Ok(Entry::Done),
+            false => Err(E::custom("a task is `true` when done")),
         }
-        .serialize(to)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut parts: A) -> Result<Entry, A::Error> {
+        let short = |at| A::Error::invalid_length(at, &"three parts");
+        Ok(Entry::Placed {
+            attempt: parts.next_element()?.ok_or_else(|| short(0))?,
+            machine: parts.next_element()?.ok_or_else(|| short(1))?,
+            session: parts.next_element()?.ok_or_else(|| short(2))?,
+        })
     }
 }
 
 impl<'de> Deserialize<'de> for Entry {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        match Wire::deserialize(from)? {
-            Wire::Waiting(last) => Ok(Entry::Waiting { last }),
-            Wire::Placed(attempt, machine, session) => Ok(Entry::Placed {
-                attempt,
-                machine,
-                session,
-            }),
-            Wire::Done(true) => Ok(Entry::Done),
-            Wire::Done(false) => Err(D::Error::custom("a task is `true` when done")),
-        }
+        from.deserialize_any(EntryReader)
     }
 }
 
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -1,23 +1,38 @@
 //! Records progress: one put per changed page, many to a transaction, starts guarded by the keys
-//! of their job, page and machines. Nothing is started before its record stands.
+//! of their job, page and machines' rentals. Nothing is started before its record stands.
 
 use super::{Entry, Final, Page};
+use crate::fleet::Use;
 use crate::node::{Core, Node};
 use crate::state::budget::Need;
-use crate::state::{Guard, Op, SHARES_KEY, TxnError, final_key, job_key, machine_key, page_key};
+use crate::state::{Guard, MOST_BYTES, Op, SHARES_KEY, TxnError, final_key, job_key, page_key};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-const MOST_BYTES: usize = 48 << 10;
+/// How long exits may wait to be recorded together, while writes are at ease and when they are
+/// scarce. Nobody waits for one of our own jobs: their machine's room is used again meanwhile, the
+/// end of a whole job is recorded at once, and a next owner is told of them again by the workers,
+/// which forget nothing before it is recorded. The owner of another job must learn of its exits.
+const EXITS_WAIT: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(25));
+const OTHERS_WAIT: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
+/// How long a page is left alone that the state service refused as malformed.
+const REFUSED_FOR: Duration = Duration::from_secs(30);
 
 /// One page as it is to be recorded.
 struct Dirty {
     job: String,
     number: usize,
+    op: Op,
     page: Page,
     guards: Vec<Guard>,
     starts: bool,
-    bytes: usize,
+}
+
+impl Dirty {
+    fn bytes(&self) -> usize {
+        self.op.bytes() + self.guards.len() * 70
+    }
 }
 
 pub async fn write(node: &Arc<Node>, leads: bool) {
@@ -32,49 +47,66 @@
     }
 }
 
-/// Moves jobs that are over to their final key, with their pages.
+/// A job that is over, as it is to be recorded.
+struct Ended {
+    id: String,
+    mark: u64,
+    pages: Vec<usize>,
+    last: Final,
+}
+
+/// Moves jobs that are over to their final key, with their pages; as many in a transaction as
+/// fit.
 async fn end_jobs(node: &Arc<Node>) -> bool {
-    let over: Vec<(String, u64, Vec<usize>, Final)> = {
+    let most = node.settings.params.state.txn_ops;
+    let mut over: Vec<Ended> = {
         let core = node.core();
-        core.replica
-            .jobs
-            .iter()
-            .filter(|(id, _)| core.owns_job(&node.me, id))
-            .filter_map(|(id, job)| {
-                let last = over(&core, id, job)?;
-                Some((
-                    id.clone(),
-                    job.mark,
-                    job.pages.keys().copied().collect(),
-                    last,
-                ))
+        let jobs = core.replica.jobs.iter();
+        jobs.filter_map(|(id, job)| {
+            let last = over(&core, id, job)?;
+            core.owns_job(&node.me, id).then(|| Ended {
+                id: id.clone(),
+                mark: job.mark,
+                pages: job.pages.keys().copied().take(most - 2).collect(),
+                last,
             })
-            .collect()
+        })
+        .collect()
     };
-    for (id, mark, pages, last) in over {
-        let most = node.settings.params.state.txn_ops - 2;
-        if node.state.writes_left(Need::Own) < 2 {
+    while !over.is_empty() {
+        let room = node.state.writes_left(Need::Own).min(most);
+        let (mut ops, mut guards, mut count) = (Vec::new(), Vec::new(), 0);
+        for ended in &over {
+            if ops.len() + 2 + ended.pages.len() > room.max(2) && count > 0 {
+                break;
+            }
+            guards.push(Guard {
+                k: job_key(&ended.id),
+                mark: ended.mark,
+            });
+            ops.push(Op::set(final_key(&ended.id), &ended.last));
+            ops.push(Op::drop(job_key(&ended.id)));
+            let pages = ended.pages.iter();
+            ops.extend(pages.map(|n| Op::drop(page_key(&ended.id, *n))));
+            count += 1;
+        }
+        if room < 2 {
             return true;
         }
-        let guards = [Guard {
-            k: job_key(&id),
-            mark,
-        }];
-        let mut ops = vec![Op::set(final_key(&id), &last), Op::drop(job_key(&id))];
-        let dropped: Vec<usize> = pages.into_iter().take(most).collect();
-        ops.extend(dropped.iter().map(|n| Op::drop(page_key(&id, *n))));
-        match node.state.transact(&guards, &ops).await {
-            Ok(ledger) => {
-                let mut core = node.core();
-                core.replica.remove(&job_key(&id), ledger);
-                core.replica.remember_ended(&id, last);
-                for number in dropped {
-                    core.replica.remove(&page_key(&id, number), ledger);
-                }
-                core.overlay.retain(|(job, _), _| *job != id);
-                core.failures.remove(&id);
+        let batch: Vec<Ended> = over.drain(..count).collect();
+        let Ok(ledger) = node.state.transact(&guards, &ops).await else {
+            return false;
+        };
+        let mut core = node.core();
+        core.counts.ended += batch.len() as u64;
+        for ended in batch {
+            core.replica.remove(&job_key(&ended.id), ledger);
+            core.replica.remember_ended(&ended.id, ended.last);
+            for number in ended.pages {
+                core.replica.remove(&page_key(&ended.id, number), ledger);
             }
-            Err(_) => return false,
+            core.plans.remove_job(&ended.id);
+            core.failures.remove(&ended.id);
         }
     }
     true
@@ -83,24 +115,31 @@
 /// Done once every task is; a cancelled one is over once none of its tasks can be on a machine.
 fn over(core: &Core, id: &str, job: &crate::state::replica::Job) -> Option<Final> {
     let tasks = job.record.spec.tasks;
+    let planned = core.plans.of(id);
     if job.record.cancelled {
-        let any = (0..tasks).any(|t| matches!(core.entry(id, t), Entry::Placed { .. }));
-        return (!any).then_some(Final::Cancelled);
+        let is_placed = |e: &Entry| matches!(e, Entry::Placed { .. });
+        let mut placed = i64::from(job.placed);
+        for (task, entry) in planned.into_iter().flatten() {
+            placed += i64::from(is_placed(entry));
+            placed -= i64::from(is_placed(&core.replica.entry(id, *task)));
+        }
+        return (placed == 0).then_some(Final::Cancelled);
     }
-    let changed = core
-        .overlay
-        .range((id.to_owned(), 0)..=(id.to_owned(), usize::MAX));
-    let pending: usize = changed.map(|(_, c)| c.len()).sum();
-    if (job.done as usize + pending) < tasks as usize {
-        return None;
+    let mut done = job.done;
+    for (task, entry) in planned.into_iter().flatten() {
+        if *entry == Entry::Done && core.replica.entry(id, *task) != Entry::Done {
+            done += 1;
+        }
     }
-    let all = (0..tasks).all(|t| core.entry(id, t) == Entry::Done);
-    all.then_some(Final::Done)
+    // A gang's tasks complete together: one that is done says that all are.
+    let needed = if job.record.spec.is_gang() { 1 } else { tasks };
+    (done >= needed).then_some(Final::Done)
 }
 
 async fn write_pages(node: &Arc<Node>) -> bool {
-    let mut dirty = dirty_pages(&node.core());
     let ops = node.settings.params.state.txn_ops;
+    let mut dirty = dirty_pages(&node.core(), node, Instant::now());
+    let mut singly = false;
     let mut fine = true;
     while !dirty.is_empty() {
         let room = node.state.writes_left(Need::Own).min(ops);
@@ -111,13 +150,15 @@
         for page in &dirty {
             let added = page.guards.iter();
             let added = added.filter(|g| !guards.contains_key(&g.k)).count();
-            let full =
-                count >= room || guards.len() + added > ops * 4 || bytes + page.bytes > MOST_BYTES;
+            let full = count >= room
+                || guards.len() + added > ops * 4
+                || bytes + page.bytes() > MOST_BYTES
+                || singly;
             if full && count > 0 {
                 break;
             }
             guards.extend(page.guards.iter().map(|g| (g.k.clone(), g.mark)));
-            bytes += page.bytes;
+            bytes += page.bytes();
             count += 1;
         }
         let batch: Vec<Dirty> = dirty.drain(..count).collect();
@@ -125,16 +166,20 @@
             .into_iter()
             .map(|(k, mark)| Guard { k, mark })
             .collect();
-        let puts: Vec<Op> = batch
-            .iter()
-            .map(|d| Op::set(page_key(&d.job, d.number), &d.page))
-            .collect();
+        let puts: Vec<Op> = batch.iter().map(|d| d.op.clone()).collect();
         let outcome = node.state.transact(&guards, &puts).await;
         let mut core = node.core();
         match outcome {
             Ok(ledger) => {
                 for d in batch {
+                    let others = !core.owns_job(&node.me, &d.job);
+                    core.counts.others_pages += u64::from(others);
+                    match d.starts {
+                        true => core.counts.start_pages += 1,
+                        false => core.counts.exit_pages += 1,
+                    }
                     core.replica.put_page(&d.job, d.number, d.page, ledger);
+                    core.plans.recorded(&d.job);
                 }
             }
             Err(TxnError::Conflict(failed)) => {
@@ -142,6 +187,17 @@
                 withdraw(&mut core, &batch, Some(&failed));
                 fine = false;
             }
+            // One record that can never be written must not block those behind it: each is tried
+            // by itself, and that one is left alone for a while.
+            Err(TxnError::Malformed) if batch.len() > 1 => {
+                singly = true;
+                dirty.splice(0..0, batch);
+            }
+            Err(TxnError::Malformed) => {
+                withdraw(&mut core, &batch, None);
+                let until = Instant::now() + REFUSED_FOR;
+                core.plans.leave_alone(&batch[0].job, until);
+            }
             Err(error) => {
                 tracing::debug!(%error, "a record was not written");
                 // Not executed, or unknown: starts are planned anew from what then stands. One
@@ -154,77 +210,123 @@
     fine
 }
 
-fn dirty_pages(core: &Core) -> Vec<Dirty> {
+fn dirty_pages(core: &Core, node: &Node, now: Instant) -> Vec<Dirty> {
+    let most_guards = node.settings.params.state.txn_ops * 4;
+    let at_ease = node.state.writes_at_ease() >= 0.98;
+    make_up(core, &node.me, most_guards, at_ease, now)
+}
+
+fn make_up(
+    core: &Core,
+    me: &crate::membership::shares::Member,
+    most_guards: usize,
+    at_ease: bool,
+    now: Instant,
+) -> Vec<Dirty> {
     let mut dirty = Vec::new();
-    for ((id, number), changes) in &core.overlay {
+    for (id, changes) in core.plans.all() {
         let Some(job) = core.replica.jobs.get(id) else {
             continue;
         };
-        let old = job.pages.get(number);
-        let mut page = old.map(|p| p.record.clone()).unwrap_or_default();
-        let mut machines = BTreeSet::new();
-        let (mut changed, mut starts) = (false, false);
+        if !core.plans.may_write(id, now) {
+            continue;
+        }
+        let (least, most) = match core.replica.owner_of(&job.record) == Some(me) {
+            true => EXITS_WAIT,
+            false => OTHERS_WAIT,
+        };
+        let wait = if at_ease { least } else { most };
+        let waited = core.plans.waited(id, now) >= wait;
+        let mut pages: BTreeMap<usize, Vec<(u32, &Entry)>> = BTreeMap::new();
         for (task, entry) in changes {
-            let slot = *task as usize % core.replica.page_len;
-            let before = page.get(slot);
-            // Another controller may have recorded the same exit, and the task's next start,
-            // since this was planned.
-            if !applies(&before, entry) {
-                continue;
-            }
-            if let Entry::Placed { machine, .. } = entry {
-                machines.insert(machine.clone());
-                starts = true;
-            }
-            // What was seen of a task holds as long as its machine is ours: a next owner may have
-            // started what we saw absent. A machine that is gone has no key, and mark 0.
-            if let Entry::Placed { machine, .. } = &before {
-                machines.insert(machine.clone());
+            let page = pages.entry(core.replica.page_of(*task)).or_default();
+            page.push((*task, entry));
+        }
+        for (number, changes) in pages {
+            let page = make_up_page(core, me, most_guards, id, job, number, &changes);
+            if let Some(page) = page.filter(|p| p.starts || waited) {
+                dirty.push(page);
             }
-            page.set(slot, entry.clone());
-            changed = true;
         }
-        if !changed {
+    }
+    // Starts first: a task waits for each of them, and nobody waits for an exit's record.
+    dirty.sort_by_key(|d| !d.starts);
+    dirty
+}
+
+fn make_up_page(
+    core: &Core,
+    me: &crate::membership::shares::Member,
+    most_guards: usize,
+    id: &str,
+    job: &crate::state::replica::Job,
+    number: usize,
+    changes: &[(u32, &Entry)],
+) -> Option<Dirty> {
+    let old = job.pages.get(&number);
+    let mut page = old.map(|p| p.record.clone()).unwrap_or_default();
+    let mut rentals: BTreeSet<Guard> = BTreeSet::new();
+    let (mut changed, mut starts) = (false, false);
+    for (task, entry) in changes {
+        let slot = *task as usize % core.replica.page_len;
+        let before = page.get(slot);
+        // Another controller may have recorded the same exit, and the task's next start, since
+        // this was planned.
+        if !applies(&before, entry) {
             continue;
         }
-        let mut guards = vec![
-            Guard {
-                k: job_key(id),
-                mark: job.mark,
-            },
-            Guard {
-                k: page_key(id, *number),
-                mark: job.page_mark(*number),
-            },
-        ];
-        if starts {
-            // The team may have gone to another controller, which places it from then on.
-            let mark = core.replica.shares.as_ref().map_or(0, |s| s.mark);
-            guards.push(Guard {
-                k: SHARES_KEY.into(),
-                mark,
-            });
+        let mut needed = Vec::new();
+        if let Entry::Placed { machine, .. } = entry {
+            let ours = core.replica.fleet.machines.get(machine);
+            if ours.is_none_or(|m| m.owner != *me || m.state != Use::Open) {
+                continue; // it left our hands since this was planned
+            }
+            needed.extend(core.machine_guard(machine));
         }
-        for machine in machines {
-            let mark = core.replica.machines.get(&machine).map_or(0, |m| m.mark);
-            guards.push(Guard {
-                k: machine_key(&machine),
-                mark,
-            });
+        // What was seen of a task holds as long as its machine is ours: a next owner may have
+        // started what we saw absent. A machine in no record is gone for good.
+        if let Entry::Placed { machine, .. } = &before {
+            needed.extend(core.machine_guard(machine));
+        }
+        let more = needed.iter().filter(|g| !rentals.contains(g)).count();
+        if rentals.len() + more + 3 > most_guards {
+            continue; // more than a transaction can guard: the rest goes with the next
         }
-        let bytes = serde_json::to_vec(&page).map_or(0, |b| b.len()) + 200 + guards.len() * 60;
-        dirty.push(Dirty {
-            job: id.clone(),
-            number: *number,
-            page,
-            guards,
-            starts,
-            bytes,
+        rentals.extend(needed);
+        starts |= matches!(entry, Entry::Placed { .. });
+        page.set(slot, (*entry).clone());
+        changed = true;
+    }
+    if !changed {
+        return None;
+    }
+    let mut guards = vec![
+        Guard {
+            k: job_key(id),
+            mark: job.mark,
+        },
+        Guard {
+            k: page_key(id, number),
+            mark: job.page_mark(number),
+        },
+    ];
+    if starts {
+        // The job may have gone to another controller, which places it from then on.
+        let mark = core.replica.shares.as_ref().map_or(0, |s| s.mark);
+        guards.push(Guard {
+            k: SHARES_KEY.into(),
+            mark,
         });
     }
-    // Starts first: a task waits for each of them, and nobody waits for an exit's record.
-    dirty.sort_by_key(|d| !d.starts);
-    dirty
+    guards.extend(rentals);
+    Some(Dirty {
+        job: id.to_owned(),
+        number,
+        op: Op::set(page_key(id, number), &page),
+        page,
+        guards,
+        starts,
+    })
 }
 
 /// Takes back planned starts, of all the pages or of those that the failed guards concern.
@@ -233,8 +335,18 @@
         let concerned = failed.is_none_or(|failed| {
             failed.is_empty() || d.guards.iter().any(|g| failed.contains(&g.k))
         });
-        if concerned && let Some(changes) = core.overlay.get_mut(&(d.job.clone(), d.number)) {
-            changes.retain(|_, entry| !matches!(entry, Entry::Placed { .. }));
+        if !concerned {
+            continue;
+        }
+        let planned = core.plans.of(&d.job).into_iter().flatten();
+        let starts: Vec<u32> = planned
+            .filter(|(task, entry)| {
+                core.replica.page_of(**task) == d.number && matches!(entry, Entry::Placed { .. })
+            })
+            .map(|(task, _)| *task)
+            .collect();
+        for task in starts {
+            core.unplan(&(d.job.clone(), task));
         }
     }
 }
@@ -254,24 +366,25 @@
 /// Forgets planned changes that the records now hold, or that no longer apply to them.
 fn settle(core: &mut Core) {
     let replica = &core.replica;
-    core.stops.retain(|((id, task), attempt), _| {
-        let job = replica.jobs.get(id);
-        let entry = job.map(|j| j.entry(replica.page_len, *task));
+    core.workers.stops.retain(|((id, task), attempt), _| {
+        let entry = replica
+            .jobs
+            .contains_key(id)
+            .then(|| replica.entry(id, *task));
         matches!(entry, Some(Entry::Placed { attempt: held, .. }) if held == *attempt)
     });
-    let overlay = std::mem::take(&mut core.overlay);
-    for ((id, number), changes) in overlay {
-        let Some(job) = core.replica.jobs.get(&id) else {
-            continue;
-        };
+    let mut over = Vec::new();
+    for (id, changes) in core.plans.all() {
+        let known = core.replica.jobs.contains_key(id);
         for (task, entry) in changes {
-            let held = job.entry(core.replica.page_len, task);
-            if applies(&held, &entry) {
-                let key = (id.clone(), number);
-                core.overlay.entry(key).or_default().insert(task, entry);
+            if !known || !applies(&core.replica.entry(id, *task), entry) {
+                over.push((id.clone(), *task));
             }
         }
     }
+    for id in over {
+        core.unplan(&id);
+    }
 }
 
 /// Drops pages left behind by ended jobs, when the budget has room.
@@ -312,21 +425,32 @@
     use serde_json::{Value, json};
     use std::time::Instant;
 
-    fn machine(owner: &str) -> Value {
-        json!({"owner":{"name":owner,"incarnation":1},"addr":"","kind":"m","zone":"a",
-            "spot":false,"hired_ms":0})
+    /// A rental of one machine.
+    fn rental(machine: &str, owner: &str, token: u64) -> Value {
+        json!({"kind":"m","zone":"a","spot":false,"count":1,"hired_ms":0,
+            "owners":[[owner, 1]],"machines":[[machine, 0, token, 0]]})
+    }
+
+    fn put(core: &mut Core, key: &str, data: Value, mark: u64) {
+        core.replica.put(key, &data.to_string(), mark);
     }
 
     fn show(core: &Core) -> String {
-        let lines = dirty_pages(core).into_iter().map(|d| {
-            let guards: Vec<String> = d
-                .guards
-                .iter()
-                .map(|g| format!("{}@{}", g.k, g.mark))
-                .collect();
-            let page = serde_json::to_string(&d.page).unwrap();
-            format!("put {page} if {}\n", guards.join(" "))
-        });
+        let me = Member {
+            name: "me".into(),
+            incarnation: 1,
+        };
+        let lines = make_up(core, &me, 96, true, Instant::now() + EXITS_WAIT.1)
+            .into_iter()
+            .map(|d| {
+                let guards: Vec<String> = d
+                    .guards
+                    .iter()
+                    .map(|g| format!("{}@{}", g.k, g.mark))
+                    .collect();
+                let page = serde_json::to_string(&d.page).unwrap();
+                format!("put {page} if {}\n", guards.join(" "))
+            });
         let text: String = lines.collect();
         if text.is_empty() {
             "nothing\n".into()
@@ -344,12 +468,12 @@
         core.note_ownership(&me, Instant::now());
         core.plan(&("job-1".into(), 0), Entry::Waiting { last: 1 });
         let ours = show(&core);
-        core.replica.put("r/m/vm-1", machine("me"), 12);
+        put(&mut core, "r/m/r-1", rental("vm-1", "me", 2), 12);
         core.note_ownership(&me, Instant::now());
         let after = show(&core);
         insta::assert_snapshot!(format!("seen as owner\n{ours}another's in between\n{after}"), @r#"
         seen as owner
-        put [1] if r/j/job-1@5 r/p/job-1/0@7 r/m/vm-1@6
+        put [1] if r/j/job-1@5 r/p/job-1/0@7 r/m/r-1@6
         another's in between
         nothing
         "#);
@@ -366,15 +490,15 @@
             "urgency":"standard","sacks":2,"cpus":1.0,"cards":0.0,"memGb":1.0,"mould":"i",
             "pullGb":1.0,"together":false,"spread":false,"borrowed":true,"grindS":10.0,
             "bankS":0.0,"bankWriteS":0.0}, "accepted_ms": 0});
-        let pair = |k: &str, data, mark| Pair {
+        let pair = |k: &str, data: Value, mark| Pair {
             k: k.into(),
-            data,
+            data: serde_json::value::to_raw_value(&data).unwrap(),
             mark,
         };
         core.replica.reset(
             vec![
                 pair("r/j/job-1", job, 5),
-                pair("r/m/vm-1", machine("me"), 6),
+                pair("r/m/r-1", rental("vm-1", "me", 1), 6),
                 pair("r/p/job-1/0", json!([[1, "vm-1", 1]]), 7),
             ],
             8,
@@ -390,12 +514,12 @@
         let (me, mut core) = core();
         core.note_ownership(&me, Instant::now());
         core.plan(&("job-1".into(), 0), Entry::Waiting { last: 1 });
-        core.replica.put("r/m/vm-2", machine("other"), 12);
+        put(&mut core, "r/m/r-2", rental("vm-2", "other", 1), 12);
         let page = json!([[2, "vm-2", 1]]);
-        core.replica.put("r/p/job-1/0", page, 13);
+        put(&mut core, "r/p/job-1/0", page, 13);
         let later = show(&core);
-        core.replica.put("r/p/job-1/0", json!([[1, "vm-1", 1]]), 14);
-        core.replica.put("r/m/vm-1", machine("other"), 15);
+        put(&mut core, "r/p/job-1/0", json!([[1, "vm-1", 1]]), 14);
+        put(&mut core, "r/m/r-1", rental("vm-1", "other", 2), 15);
         core.note_ownership(&me, Instant::now());
         let lost = show(&core);
         insta::assert_snapshot!(format!("started again\n{later}machine lost\n{lost}"), @r"
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,8 @@
 
 mod api;
 mod cloud;
+mod counts;
+mod fleet;
 mod http;
 mod jobs;
 mod membership;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,20 +3,34 @@
 
 pub mod shares;
 
-use crate::jobs::Urgency;
-use crate::node::{Node, age_s, wall_ms};
+use crate::node::{Core, Node, age_s, wall_ms};
 use crate::placement::views::{due_after, kinds_for, room_of};
 use crate::placement::{By, Need};
 use crate::state::budget::Need as Budget;
-use crate::state::replica::{LeaderRecord, MachineRecord, PresenceRecord};
+use crate::state::replica::{LeaderRecord, PresenceRecord};
 use crate::state::{
-    Guard, LEADER_KEY, Op, SHARES_KEY, TxnError, client::ReadError, machine_key, presence_key,
+    Guard, LEADER_KEY, Op, SHARES_KEY, TxnError, client::ReadError, presence_key, rental_key,
 };
-use shares::{Demand, Shared, Shares, part_machines, part_teams};
-use std::collections::BTreeMap;
+use shares::{Demand, Member, Shared, Shares, Work, part_jobs, part_machines};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// How this node stands among the controllers.
+#[derive(Debug, Default)]
+pub struct Standing {
+    pub lease: Option<u64>,
+    /// When the last call was sent that renewed the presence lease.
+    pub lease_proof: Option<Instant>,
+    /// Mark of the leader key under which this node did the leader's duties last, and since when.
+    pub leading: Option<(u64, Instant)>,
+    /// When the leader shared out last, and among whom.
+    shared_at: Option<Instant>,
+    shared_among: BTreeSet<Member>,
+    /// This node cannot hear most workers and leaves the lead to others until then.
+    pub stand_back_until: Option<Instant>,
+}
+
 /// Keeps the presence lease, and stands for the lead whenever nobody holds it.
 pub async fn run(node: Arc<Node>) {
     let ttl = node.settings.presence_ttl();
@@ -32,14 +46,17 @@
 async fn step(node: &Arc<Node>, ttl: Duration) {
     let (lease, stands_back) = {
         let core = node.core();
-        (core.lease, core.stand_back_until.is_some())
+        (
+            core.standing.lease,
+            core.standing.stand_back_until.is_some(),
+        )
     };
     if let Some(lease) = lease
         && stands_back
     {
         // Its teams and machines, and the lead if it has it, go to others with the lease.
         if node.state.end_lease(lease).await.is_ok() {
-            node.core().lease = None;
+            node.core().standing.lease = None;
         }
         return;
     }
@@ -49,7 +66,7 @@
         Some(lease) => match extend(node, lease).await {
             Err(ReadError::Gone) => {
                 tracing::info!("the presence lease is over");
-                node.core().lease = None;
+                node.core().standing.lease = None;
             }
             Ok(()) => campaign(node, lease).await,
             Err(_) => {}
@@ -60,7 +77,7 @@
 async fn extend(node: &Node, lease: u64) -> Result<(), ReadError> {
     let sent = Instant::now();
     node.state.extend_lease(lease).await?;
-    node.core().lease_proof = Some(sent);
+    node.core().standing.lease_proof = Some(sent);
     Ok(())
 }
 
@@ -81,14 +98,14 @@
     let Ok(lease) = node.state.create_lease(ttl).await else {
         return;
     };
-    node.core().lease_proof = Some(sent);
+    node.core().standing.lease_proof = Some(sent);
     let record = PresenceRecord {
         incarnation: node.me.incarnation,
         lease,
     };
     let put = leased(presence_key(me), &record, lease);
     if node.state.transact(&[], &[put]).await.is_ok() {
-        node.core().lease = Some(lease);
+        node.core().standing.lease = Some(lease);
         if node.sync().await {
             campaign(node, lease).await;
         }
@@ -122,7 +139,7 @@
     let put = leased(LEADER_KEY.into(), &record, lease);
     match node.state.transact(&[guard], &[put]).await {
         Ok(_) => tracing::info!("elected"),
-        Err(TxnError::NoLease) => node.core().lease = None,
+        Err(TxnError::NoLease) => node.core().standing.lease = None,
         Err(_) => {}
     }
     node.sync().await;
@@ -137,119 +154,150 @@
     ours.then_some(leader.mark)
 }
 
+/// Notes whether this node leads, and since when.
+pub fn note_lead(node: &Node, mark: Option<u64>) {
+    let mut core = node.core();
+    let before = core.standing.leading.map(|(mark, _)| mark);
+    if before != mark {
+        tracing::info!(?mark, "the lead changed hands");
+        core.standing.leading = mark.map(|mark| (mark, Instant::now()));
+    }
+}
+
 fn end_standing_back(node: &Node) {
     let mut core = node.core();
     // If all stand back at once, the machines are gone rather than the ways to them.
     let alone = core.replica.presence.is_empty();
     if alone
         || core
+            .standing
             .stand_back_until
             .is_some_and(|until| until <= Instant::now())
     {
-        core.stand_back_until = None;
+        core.standing.stand_back_until = None;
     }
 }
 
 /// What the leader has to change so that everything belongs to someone who is there.
 struct Change {
     shares: Option<(Shares, u64)>,
-    machines: Vec<(String, MachineRecord, u64)>,
+    machines: Vec<(String, Member)>,
 }
 
-fn wanted_change(node: &Node, settled: bool) -> Change {
-    let core = node.core();
-    let replica = &core.replica;
-    let present = replica.present();
-    let mut load: BTreeMap<String, f64> = BTreeMap::new();
+/// Machines that each controller's work would fill, and what its limited teams would.
+pub fn demand(node: &Node, core: &Core, shares: &Shares) -> (Demand, BTreeMap<String, f64>, bool) {
     let now_ms = wall_ms();
-    let mut work: Vec<(String, String, Urgency, f64)> = Vec::new();
-    for job in replica.jobs.values().filter(|j| !j.record.cancelled) {
+    let mut demand = Demand::new();
+    let teams = node.settings.params.teams.iter();
+    let mut limited: BTreeMap<String, f64> = teams
+        .filter(|t| t.is_limited())
+        .map(|t| (t.name.clone(), 0.0))
+        .collect();
+    let mut gangs = false;
+    for job in core.replica.jobs.values().filter(|j| !j.record.cancelled) {
         let spec = &job.record.spec;
-        let pool = kinds_for(&core, spec).into_iter().next();
+        let pool = kinds_for(core, spec).into_iter().next();
         let Some(kind) = pool.and_then(|k| core.kind(&k)) else {
             continue;
         };
+        gangs |= spec.is_gang();
         let left = f64::from(spec.tasks - job.done.min(spec.tasks));
         let machines = Need::share(&spec.need(), &room_of(kind)) * left;
-        *load.entry(spec.team.clone()).or_default() += machines;
+        if let Some(load) = limited.get_mut(&spec.team) {
+            *load += machines;
+        }
         // What has time need not all run at once.
         let age = age_s(job.record.accepted_ms, now_ms);
-        let (due, by) = due_after(node, &core, spec, age);
+        let (due, by) = due_after(node, core, spec, age);
         let at_once = match by {
             By::Start => 1.0,
             By::End => (core.duration(spec) * 1.5 / (due - age).max(0.1)).clamp(0.2, 1.0),
         };
-        let machines = machines * at_once;
-        work.push((spec.team.clone(), kind.name.clone(), spec.urgency, machines));
+        if let Some(member) = shares.owner(spec) {
+            let levels = demand
+                .entry((member.clone(), kind.name.clone()))
+                .or_default();
+            *levels.entry(spec.urgency).or_default() += machines * at_once;
+        }
     }
-    let teams = node.settings.params.teams.iter();
-    let teams: Vec<String> = teams.map(|t| t.name.clone()).collect();
+    (demand, limited, gangs)
+}
+
+fn wanted_change(node: &Node, core: &Core, settled: bool) -> Change {
+    let replica = &core.replica;
+    let present = replica.present();
     let old = replica.shares.as_ref();
     let none = Shares::default();
-    let shares = part_teams(&teams, &present, old.map_or(&none, |s| &s.record), &load);
-    let mut demand = Demand::new();
-    for (team, kind, urgency, machines) in work {
-        if let Some(member) = shares.teams.get(&team) {
-            let levels = demand.entry((member.clone(), kind)).or_default();
-            *levels.entry(urgency).or_default() += machines;
-        }
-    }
-    // More at once than the limit on writes allows would be refused as a whole.
-    let most_ops = node.state.writes_left(Budget::Own).clamp(6, 12);
-    let machines: Vec<Shared> = replica
-        .machines
+    let before = old.map_or(&none, |s| &s.record);
+    let (_, limited, gangs) = demand(node, core, before);
+    let work = Work {
+        limited: &limited,
+        gangs,
+    };
+    let shares = part_jobs(&present, &node.me, before, &work);
+    let (demand, ..) = demand(node, core, &shares);
+    let machines = &replica.fleet.machines;
+    let shared: Vec<Shared> = machines
         .iter()
         .map(|(name, m)| Shared {
-            name: name.clone(),
-            kind: m.record.kind.clone(),
-            owner: m.record.owner.clone(),
+            name,
+            kind: &m.kind,
+            zone: &m.zone,
+            owner: &m.owner,
             tasks: replica.on.get(name).map_or(0, |on| on.len() as u32),
         })
         .collect();
-    let most = if settled { MOST_MOVED } else { 0 };
-    let moves = part_machines(&machines, &present, &demand, most);
-    let machines = moves
-        .into_iter()
-        .filter_map(|(name, owner)| {
-            let kept = replica.machines.get(&name)?;
-            let record = MachineRecord {
-                owner,
-                ..kept.record.clone()
-            };
-            Some((name, record, kept.mark))
-        })
-        .take(most_ops)
-        .collect();
-    let changed = old.is_none_or(|old| old.record != shares);
+    let most = match settled {
+        true => (shared.len() / PER_MOVED).max(1),
+        false => 0,
+    };
+    let machines = part_machines(&shared, &present, &demand, most);
+    let changed = before != &shares;
     Change {
         shares: changed.then(|| (shares, old.map_or(0, |o| o.mark))),
         machines,
     }
 }
 
-/// Machines that change hands at a time while all controllers are there.
-const MOST_MOVED: usize = 1;
+/// Of so many machines one that is in use changes hands at a time while all controllers are there.
+const PER_MOVED: usize = 50;
 /// How often they do.
 const SHARE_EVERY: Duration = Duration::from_secs(1);
+/// Most records that a sharing among those who stayed writes: more would keep starts from being
+/// recorded.
+const MOST_RECORDS: usize = 4;
 
 /// The leader's duty: everything belongs to a controller that is there, and machines follow the
-/// work. A machine whose key changes hands has a new mark, so that whatever its old owner still
+/// work. A machine that changes hands has a higher token, so that whatever its old owner still
 /// sends fails on its guards, and the worker drops the old owner's answers.
 pub async fn share_out(node: &Arc<Node>, mark: u64) {
-    let settled = {
+    let change = {
         let mut core = node.core();
-        let due = core.shared_at.is_none_or(|at| at.elapsed() >= SHARE_EVERY);
-        if due {
-            core.shared_at = Some(Instant::now());
+        let present = core.replica.present();
+        let fleet = &core.replica.fleet.machines;
+        let orphaned = present != core.standing.shared_among
+            || core.replica.shares.is_none()
+            || fleet.values().any(|m| !present.contains(&m.owner));
+        let due = core
+            .standing
+            .shared_at
+            .is_none_or(|at| at.elapsed() >= SHARE_EVERY);
+        if core.kinds.is_empty() || !(due || orphaned) {
+            return;
         }
-        due
+        core.standing.shared_at = Some(Instant::now());
+        core.standing.shared_among = present;
+        (wanted_change(node, &core, due), orphaned)
     };
-    let change = wanted_change(node, settled);
+    let (change, orphaned) = change;
+    if change.shares.is_none() && change.machines.is_empty() {
+        return;
+    }
+    let mut ops = Vec::new();
     let mut guards = vec![Guard {
         k: LEADER_KEY.into(),
         mark,
     }];
-    let mut ops = Vec::new();
     if let Some((shares, mark)) = &change.shares {
         guards.push(Guard {
             k: SHARES_KEY.into(),
@@ -257,12 +305,42 @@
         });
         ops.push(Op::set(SHARES_KEY.into(), shares));
     }
-    for (name, record, mark) in &change.machines {
-        guards.push(Guard {
-            k: machine_key(name),
-            mark: *mark,
+    let most = node.settings.params.state.txn_ops - 1;
+    let owners: BTreeMap<&str, &Member> = change
+        .machines
+        .iter()
+        .map(|(name, to)| (name.as_str(), to))
+        .collect();
+    let most = match orphaned {
+        // A takeover may use what is kept back for users: until it is done nobody's tasks start.
+        true => most.min(node.state.writes_left(Budget::User).max(1)),
+        false => MOST_RECORDS.min(node.state.writes_left(Budget::Own)),
+    };
+    let mut moved = 0;
+    {
+        let core = node.core();
+        let fleet = &core.replica.fleet;
+        let changed = fleet.changed_by(owners.keys().copied(), |machine| {
+            if let Some(to) = owners.get(machine.name.as_str()) {
+                machine.owner = (*to).clone();
+                machine.token += 1;
+                moved += 1;
+            }
+            true
         });
-        ops.push(Op::set(machine_key(name), record));
+        let mut bytes = 0;
+        for (name, kept) in changed.into_iter().take(most) {
+            let op = Op::set(rental_key(&name), &kept.record);
+            bytes += op.bytes();
+            if bytes > crate::state::MOST_BYTES {
+                break;
+            }
+            guards.push(Guard {
+                k: rental_key(&name),
+                mark: kept.mark,
+            });
+            ops.push(op);
+        }
     }
     if ops.is_empty() {
         return;
@@ -270,15 +348,15 @@
     match node.state.transact(&guards, &ops).await {
         Ok(ledger) => {
             if let Some((shares, _)) = &change.shares {
-                let teams = serde_json::to_string(&shares.teams).unwrap_or_default();
-                tracing::info!(teams, "parted the teams");
-            }
-            for (name, record, _) in &change.machines {
-                tracing::info!(machine = name, to = record.owner.name, "changed hands");
+                let shares = serde_json::to_string(shares).unwrap_or_default();
+                tracing::info!(shares, "parted the jobs");
             }
+            let records = ops.len();
+            tracing::info!(machines = moved, records, "machines changed hands");
             node.core().apply(ops, ledger);
         }
-        Err(_) => {
+        Err(error) => {
+            tracing::debug!(%error, "the sharing was not written");
             node.sync().await;
         }
     }
--- a/src/membership/shares.rs
+++ b/src/membership/shares.rs
@@ -1,7 +1,12 @@
-//! Who places what: each team and each machine belongs to one controller. The leader decides,
+//! Who places what: each job and each machine belongs to one controller. The leader decides,
 //! from the records alone.
+//!
+//! The first sharing gave each team whole to a controller, so one team's drop kept one controller
+//! busy while the others looked on. Now jobs are parted by their id; only the teams with a limit
+//! stay whole, since their limit must hold exactly and one controller alone can see to that. Gangs
+//! go to few controllers, whose machines are then not parted into pieces too small for them.
 
-use crate::jobs::Urgency;
+use crate::jobs::{JobSpec, Urgency};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,103 +17,177 @@
     pub incarnation: u64,
 }
 
-/// The leader's record of team shares.
+/// The leader's record of who places which jobs. Controllers are named by their place in
+/// `members`.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Shares {
-    pub teams: BTreeMap<String, Member>,
+    pub members: Vec<Member>,
+    /// Teams with a limit, each whole.
+    pub teams: BTreeMap<String, usize>,
+    /// Who places gangs, and whether there were any when this was parted.
+    pub gangs: Vec<usize>,
+    pub had_gangs: bool,
+    /// Who places the arrays whose id falls on each slot.
+    pub slots: Vec<usize>,
 }
 
-/// Parts the teams among those present. Teams of those still there stay; the others go to whoever
-/// has least to do, heaviest first. A controller without any team takes one from the one that has
-/// most of them.
-pub fn part_teams(
-    teams: &[String],
-    present: &BTreeSet<Member>,
-    old: &Shares,
-    load: &BTreeMap<String, f64>,
-) -> Shares {
-    let mut shares = Shares::default();
+/// Parts into which array jobs are divided: enough that most numbers of controllers divide them.
+const SLOTS: usize = 60;
+/// What a controller that places gangs takes of the arrays, and what the leader does.
+const GANGS_WEIGHT: f64 = 0.4;
+const LEADER_WEIGHT: f64 = 0.8;
+/// Controllers for each one that places gangs.
+const PER_GANGS: usize = 4;
+
+/// The same in each process and version: FNV-1a.
+fn spot_of(id: &str) -> usize {
+    let hash = id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    (hash >> 20) as usize
+}
+
+impl Shares {
+    /// The controller that places a job and ends it.
+    pub fn owner(&self, spec: &JobSpec) -> Option<&Member> {
+        let of = |list: &[usize]| list.get(spot_of(&spec.id) % list.len().max(1)).copied();
+        let at = match self.teams.get(&spec.team) {
+            Some(at) => Some(*at),
+            None if spec.is_gang() => of(&self.gangs),
+            None => of(&self.slots),
+        };
+        self.members.get(at?)
+    }
+
+    fn at(&self, member: &Member) -> Option<usize> {
+        self.members.iter().position(|m| m == member)
+    }
+}
+
+/// What the sharing of jobs depends on.
+pub struct Work<'a> {
+    /// Teams with a limit, and the machines that their work would fill.
+    pub limited: &'a BTreeMap<String, f64>,
+    /// Whether there are gangs to place.
+    pub gangs: bool,
+}
+
+/// Parts the work among those present. What belongs to a controller that is still there stays as
+/// far as its part allows; it is only done anew when controllers come or go.
+pub fn part_jobs(present: &BTreeSet<Member>, leader: &Member, old: &Shares, work: &Work) -> Shares {
     if present.is_empty() {
-        return shares;
+        return Shares::default();
     }
-    // Even a team without work counts a little, so that idle teams are parted evenly too.
-    let weight = |team: &str| 0.1 + load.get(team).copied().unwrap_or(0.0);
-    let mut burden: BTreeMap<&Member, (f64, usize)> =
-        present.iter().map(|m| (m, (0.0, 0))).collect();
-    let mut open: Vec<&String> = Vec::new();
-    for team in teams {
-        match old.teams.get(team).and_then(|m| present.get(m)) {
-            Some(member) => {
-                shares.teams.insert(team.clone(), member.clone());
-                let burden = burden.get_mut(member).expect("present");
-                burden.0 += weight(team);
-                burden.1 += 1;
+    let members: Vec<Member> = present.iter().cloned().collect();
+    let gangs_are_new = work.gangs && !old.had_gangs;
+    if members == old.members
+        && !gangs_are_new
+        && work.limited.keys().all(|t| old.teams.contains_key(t))
+    {
+        return old.clone();
+    }
+    let mut shares = Shares {
+        members,
+        had_gangs: work.gangs || old.had_gangs,
+        ..Shares::default()
+    };
+    let count = shares.members.len();
+    let still = |at: usize| old.members.get(at).and_then(|m| shares.at(m));
+    let mut gangs: Vec<usize> = old.gangs.iter().filter_map(|at| still(*at)).collect();
+    gangs.truncate((count / PER_GANGS).max(1));
+    // Not the leader, which has its own duties, if it can be helped.
+    let mut others: Vec<usize> = (0..count).filter(|at| !gangs.contains(at)).collect();
+    others.sort_by_key(|at| shares.members[*at] == *leader);
+    gangs.extend(others.iter().take((count / PER_GANGS).max(1) - gangs.len()));
+    let weight = |at: usize| {
+        let mut weight = 1.0;
+        if shares.had_gangs && gangs.contains(&at) {
+            weight *= GANGS_WEIGHT;
+        }
+        if shares.members[at] == *leader {
+            weight *= LEADER_WEIGHT;
+        }
+        weight
+    };
+    let weights: Vec<f64> = (0..count).map(weight).collect();
+    let slots = part_slots(&weights, |slot| {
+        old.slots.get(slot).and_then(|at| still(*at))
+    });
+    let mut teams: BTreeMap<String, usize> = BTreeMap::new();
+    let mut burden: Vec<f64> = weights.iter().map(|w| -w * 0.01).collect();
+    let mut open = Vec::new();
+    for (team, load) in work.limited {
+        match old.teams.get(team).and_then(|at| still(*at)) {
+            Some(at) => {
+                burden[at] += load + 0.1;
+                teams.insert(team.clone(), at);
             }
-            None => open.push(team),
+            None => open.push((team, *load)),
         }
     }
-    open.sort_by(|a, b| weight(b).total_cmp(&weight(a)).then(a.cmp(b)));
-    for team in open {
-        let least = burden
-            .iter()
-            .min_by(|a, b| a.1.0.total_cmp(&b.1.0).then(a.1.1.cmp(&b.1.1)));
-        let member = (*least.expect("someone is present").0).clone();
-        let entry = burden.get_mut(&member).expect("present");
-        entry.0 += weight(team);
-        entry.1 += 1;
-        shares.teams.insert(team.clone(), member);
+    open.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(b.0)));
+    for (team, load) in open {
+        let least = (0..count).min_by(|a, b| burden[*a].total_cmp(&burden[*b]));
+        let at = least.expect("someone is present");
+        burden[at] += load + 0.1;
+        teams.insert(team.clone(), at);
     }
-    even_out(&mut shares, present, &weight);
+    shares.gangs = gangs;
+    shares.slots = slots;
+    shares.teams = teams;
     shares
 }
 
-/// Those who came back to find all teams taken get the lightest teams of the busiest.
-fn even_out(shares: &mut Shares, present: &BTreeSet<Member>, weight: &dyn Fn(&str) -> f64) {
-    for member in present {
-        if shares.teams.values().any(|m| m == member) {
-            continue;
-        }
-        let mut counts: BTreeMap<&Member, usize> = BTreeMap::new();
-        for owner in shares.teams.values() {
-            *counts.entry(owner).or_default() += 1;
-        }
-        let Some((giver, most)) = counts.into_iter().max_by_key(|(_, n)| *n) else {
-            return;
-        };
-        if most < 2 {
-            return;
-        }
-        let giver = giver.clone();
-        let mut given: Vec<String> = shares
-            .teams
-            .iter()
-            .filter(|(_, m)| **m == giver)
-            .map(|(t, _)| t.clone())
-            .collect();
-        given.sort_by(|a, b| weight(a).total_cmp(&weight(b)).then(a.cmp(b)));
-        for team in given.into_iter().take(most / 2) {
-            shares.teams.insert(team, member.clone());
+fn part_slots(weights: &[f64], old: impl Fn(usize) -> Option<usize>) -> Vec<usize> {
+    let all: f64 = weights.iter().sum();
+    // Largest remainders.
+    let exact: Vec<f64> = weights.iter().map(|w| w / all * SLOTS as f64).collect();
+    let mut quota: Vec<usize> = exact.iter().map(|e| e.floor() as usize).collect();
+    let mut order: Vec<usize> = (0..weights.len()).collect();
+    order.sort_by(|a, b| exact[*b].fract().total_cmp(&exact[*a].fract()));
+    let short = SLOTS - quota.iter().sum::<usize>();
+    for at in order.into_iter().cycle().take(short) {
+        quota[at] += 1;
+    }
+    let mut slots: Vec<Option<usize>> = vec![None; SLOTS];
+    for (slot, place) in slots.iter_mut().enumerate() {
+        if let Some(at) = old(slot).filter(|at| quota[*at] > 0) {
+            quota[at] -= 1;
+            *place = Some(at);
         }
     }
+    let mut left = quota
+        .iter()
+        .enumerate()
+        .flat_map(|(at, quota)| std::iter::repeat_n(at, *quota))
+        .collect::<Vec<_>>()
+        .into_iter();
+    slots
+        .into_iter()
+        .map(|slot| slot.or_else(|| left.next()).unwrap_or(0))
+        .collect()
 }
 
 /// A machine as far as sharing goes.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Shared {
-    pub name: String,
-    pub kind: String,
-    pub owner: Member,
+pub struct Shared<'a> {
+    pub name: &'a str,
+    pub kind: &'a str,
+    pub zone: &'a str,
+    pub owner: &'a Member,
     pub tasks: u32,
 }
 
 /// A machine that changes hands takes no work until its worker has found its new owner: for less
-/// than this, in machines, it is not worth it.
+/// than this, in machines, it is not worth it. Of large shares, nor for less than a part of them.
 const LEAST_LACK: f64 = 1.2;
+const LEAST_PART: f64 = 0.04;
 
-fn least_of(machine: &Shared) -> f64 {
+fn least_of(machine: &Shared, target: f64) -> f64 {
+    let least = LEAST_LACK.max(target * LEAST_PART);
     match machine.tasks {
-        0 => LEAST_LACK / 2.0,
-        _ => LEAST_LACK,
+        0 => least / 2.0,
+        _ => least,
     }
 }
 
@@ -118,7 +197,7 @@
 /// How many machines of a kind each should have: more urgent work first, in proportion where it
 /// lacks machines. What nobody's work would fill stays where it is: moving it would only begin
 /// its hold anew.
-fn targets(
+pub fn targets(
     present: &BTreeSet<Member>,
     kind: &str,
     demand: &Demand,
@@ -147,9 +226,48 @@
     targets
 }
 
+/// What one kind's machines are shared by, while it is worked out.
+struct Sharing<'a> {
+    targets: BTreeMap<Member, f64>,
+    have: BTreeMap<Member, f64>,
+    by_zone: BTreeMap<(Member, &'a str), u32>,
+}
+
+impl<'a> Sharing<'a> {
+    fn lack(&self, member: &Member) -> f64 {
+        self.targets[member] - self.have[member]
+    }
+
+    /// Of those who lack a machine, who has most in the zone already, then who lacks most. Whole
+    /// zones keep room for gangs in one piece.
+    fn neediest(&self, zone: &'a str) -> Option<(f64, Member)> {
+        let most = self
+            .have
+            .keys()
+            .map(|m| self.lack(m))
+            .max_by(f64::total_cmp)?;
+        let near = |m: &&Member| self.lack(m) >= most.min(1.0) - 1e-9;
+        let in_zone = |m: &Member| self.by_zone.get(&(m.clone(), zone)).copied().unwrap_or(0);
+        let best = self.have.keys().filter(near).max_by(|a, b| {
+            let zones = in_zone(a).cmp(&in_zone(b));
+            zones.then(self.lack(a).total_cmp(&self.lack(b)))
+        })?;
+        Some((self.lack(best), best.clone()))
+    }
+
+    fn moves(&mut self, from: Option<&Member>, to: &Member, zone: &'a str) {
+        if let Some(from) = from {
+            *self.have.get_mut(from).expect("present") -= 1.0;
+            *self.by_zone.entry((from.clone(), zone)).or_default() -= 1;
+        }
+        *self.have.get_mut(to).expect("present") += 1.0;
+        *self.by_zone.entry((to.clone(), zone)).or_default() += 1;
+    }
+}
+
 /// Which machines change hands, and to whom. Those whose owner is gone go where most is lacking.
-/// Beyond that, as many of each kind as the work of its teams would fill, in proportion where
-/// there are too few; emptiest machines first, and of those in use no more than `most` at a time.
+/// Beyond that, as many of each kind as each one's work would fill, in proportion where there are
+/// too few; emptiest machines first, and of those in use no more than `most` at a time.
 pub fn part_machines(
     machines: &[Shared],
     present: &BTreeSet<Member>,
@@ -157,53 +275,51 @@
     most: usize,
 ) -> Vec<(String, Member)> {
     let mut moves = Vec::new();
-    let kinds: BTreeSet<&String> = machines.iter().map(|m| &m.kind).collect();
+    if present.is_empty() {
+        return moves;
+    }
+    let kinds: BTreeSet<&str> = machines.iter().map(|m| m.kind).collect();
     for kind in kinds {
-        let ours: Vec<&Shared> = machines.iter().filter(|m| m.kind == *kind).collect();
-        let targets = targets(present, kind, demand, ours.len() as f64);
-        let target = |m: &Member| targets.get(m).copied().unwrap_or(0.0);
-        let mut have: BTreeMap<&Member, f64> = present.iter().map(|m| (m, 0.0)).collect();
+        let mut ours: Vec<&Shared> = machines.iter().filter(|m| m.kind == kind).collect();
+        ours.sort_by_key(|m| (m.zone, m.name));
+        let mut sharing = Sharing {
+            targets: targets(present, kind, demand, ours.len() as f64),
+            have: present.iter().map(|m| (m.clone(), 0.0)).collect(),
+            by_zone: BTreeMap::new(),
+        };
         for machine in &ours {
-            if let Some(count) = have.get_mut(&machine.owner) {
-                *count += 1.0;
+            if present.contains(machine.owner) {
+                sharing.moves(None, machine.owner, machine.zone);
             }
         }
-        let neediest = |have: &BTreeMap<&Member, f64>| {
-            let lacks = |m: &Member| target(m) - have[m];
-            let best = present
-                .iter()
-                .max_by(|a, b| lacks(a).total_cmp(&lacks(b)))
-                .cloned();
-            best.map(|m| (lacks(&m), m))
-        };
-        for machine in ours.iter().filter(|m| !present.contains(&m.owner)) {
-            let Some((_, taker)) = neediest(&have) else {
+        for machine in ours.iter().filter(|m| !present.contains(m.owner)) {
+            let Some((_, taker)) = sharing.neediest(machine.zone) else {
                 return moves;
             };
-            *have.get_mut(&taker).expect("present") += 1.0;
-            moves.push((machine.name.clone(), taker));
+            sharing.moves(None, &taker, machine.zone);
+            moves.push((machine.name.to_owned(), taker));
         }
         if !demand.keys().any(|(_, k)| k == kind) {
             continue; // nobody needs any: moving them about helps nobody
         }
-        let mut candidates: Vec<&&Shared> =
-            ours.iter().filter(|m| present.contains(&m.owner)).collect();
-        candidates.sort_by(|a, b| a.tasks.cmp(&b.tasks).then(a.name.cmp(&b.name)));
+        ours.sort_by_key(|m| m.tasks);
         let mut moved = 0;
-        for machine in candidates {
-            let Some((lack, taker)) = neediest(&have) else {
-                break;
-            };
-            let surplus = have[&machine.owner] - target(&machine.owner);
-            if (moved >= most && machine.tasks > 0) || lack < least_of(machine) {
+        for machine in ours.iter().filter(|m| present.contains(m.owner)) {
+            if moved >= most && machine.tasks > 0 {
                 break;
             }
-            if surplus < least_of(machine) || machine.owner == taker {
+            let surplus = -sharing.lack(machine.owner);
+            if surplus < least_of(machine, sharing.targets[machine.owner]) {
                 continue;
             }
-            *have.get_mut(&machine.owner).expect("present") -= 1.0;
-            *have.get_mut(&taker).expect("present") += 1.0;
-            moves.push((machine.name.clone(), taker));
+            let Some((lack, taker)) = sharing.neediest(machine.zone) else {
+                break;
+            };
+            if lack < least_of(machine, sharing.targets[&taker]) || taker == *machine.owner {
+                continue;
+            }
+            sharing.moves(Some(machine.owner), &taker, machine.zone);
+            moves.push((machine.name.to_owned(), taker));
             moved += usize::from(machine.tasks > 0);
         }
     }
@@ -222,41 +338,73 @@
     }
 
     fn show(shares: &Shares) -> String {
-        let teams = shares.teams.iter();
-        teams
-            .map(|(t, m)| format!("{t} -> {} ({})\n", m.name, m.incarnation))
-            .collect()
+        let mut text = String::new();
+        for (at, member) in shares.members.iter().enumerate() {
+            let slots = shares.slots.iter().filter(|s| **s == at).count();
+            let teams = shares.teams.iter().filter(|t| *t.1 == at);
+            let teams: Vec<&str> = teams.map(|t| t.0.as_str()).collect();
+            let gangs = if shares.gangs.contains(&at) {
+                ", gangs"
+            } else {
+                ""
+            };
+            text.push_str(&format!(
+                "{} ({}): {slots} slots{gangs} {teams:?}\n",
+                member.name, member.incarnation
+            ));
+        }
+        text
     }
 
     #[test]
-    fn teams_stay_unless_their_controller_is_gone() {
-        let teams: Vec<String> = ["maps", "plans", "scores", "scans"]
-            .map(String::from)
-            .into();
-        let load = BTreeMap::from([("plans".to_string(), 5.0), ("scores".to_string(), 3.0)]);
+    fn work_stays_unless_its_controller_is_gone_and_limited_teams_stay_whole() {
+        let limited = BTreeMap::from([("plans".to_string(), 5.0), ("scores".to_string(), 3.0)]);
+        let work = Work {
+            limited: &limited,
+            gangs: true,
+        };
+        let a = member("a", 1);
         let three: BTreeSet<Member> = ["a", "b", "c"].map(|n| member(n, 1)).into();
-        let first = part_teams(&teams, &three, &Shares::default(), &load);
+        let first = part_jobs(&three, &a, &Shares::default(), &work);
         let two: BTreeSet<Member> = [member("a", 1), member("b", 1)].into();
-        let after_end = part_teams(&teams, &two, &first, &load);
+        let after_end = part_jobs(&two, &a, &first, &work);
         // c is back within a moment: another incarnation, which owns nothing by right.
         let mut back = two.clone();
         back.insert(member("c", 2));
-        let after_return = part_teams(&teams, &back, &after_end, &load);
+        let after_return = part_jobs(&back, &a, &after_end, &work);
+        let kept = (0..SLOTS).filter(|s| {
+            after_end.members[after_end.slots[*s]] == after_return.members[after_return.slots[*s]]
+        });
         insta::assert_snapshot!(format!(
-            "all there\n{}c ended\n{}c is back\n{}",
+            "all there\n{}c ended\n{}c is back\n{}slots that stayed: {}",
             show(&first),
             show(&after_end),
-            show(&after_return)
-        ));
+            show(&after_return),
+            kept.count()
+        ), @r#"
+        all there
+        a (1): 22 slots ["scores"]
+        b (1): 11 slots, gangs []
+        c (1): 27 slots ["plans"]
+        c ended
+        a (1): 40 slots ["scores"]
+        b (1): 20 slots, gangs ["plans"]
+        c is back
+        a (1): 22 slots ["scores"]
+        b (1): 11 slots, gangs ["plans"]
+        c (2): 27 slots []
+        slots that stayed: 33
+        "#);
     }
 
     #[test]
     fn machines_follow_the_work_and_leave_the_dead() {
         let (a, b, gone) = (member("a", 1), member("b", 1), member("c", 1));
-        let shared = |name: &str, owner: &Member, tasks| Shared {
-            name: name.into(),
-            kind: "m".into(),
-            owner: owner.clone(),
+        let shared = |name: &'static str, owner, tasks| Shared {
+            name,
+            kind: "m",
+            zone: "z",
+            owner,
             tasks,
         };
         let machines = vec![
@@ -293,4 +441,35 @@
         vm-5 to a
         ");
     }
+
+    /// Gangs in one zone need whole zones: three controllers take over two zones' machines.
+    #[test]
+    fn machines_of_a_zone_stay_together() {
+        let gone = member("gone", 1);
+        let names: Vec<String> = (0..60).map(|n| format!("vm-{n:02}")).collect();
+        let machines: Vec<Shared> = names
+            .iter()
+            .enumerate()
+            .map(|(n, name)| Shared {
+                name,
+                kind: "m",
+                zone: if n % 2 == 0 { "east" } else { "west" },
+                owner: &gone,
+                tasks: 1,
+            })
+            .collect();
+        let present: BTreeSet<Member> = ["a", "b", "c"].map(|n| member(n, 1)).into();
+        let level = |n: f64| BTreeMap::from([(Urgency::Standard, n)]);
+        let demand: Demand = present
+            .iter()
+            .map(|m| ((m.clone(), "m".to_string()), level(20.0)))
+            .collect();
+        let moves = part_machines(&machines, &present, &demand, 0);
+        let mut counts: BTreeMap<(&str, &str), u32> = BTreeMap::new();
+        for (name, to) in &moves {
+            let machine = machines.iter().find(|m| m.name == name).unwrap();
+            *counts.entry((&to.name, machine.zone)).or_default() += 1;
+        }
+        insta::assert_snapshot!(format!("{counts:?}"), @r#"{("a", "west"): 20, ("b", "east"): 10, ("b", "west"): 10, ("c", "east"): 20}"#);
+    }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,95 +1,39 @@
 //! One controller node: what its slices share, behind one short lock, and how they are started.
 
 use crate::cloud::{CloudClient, Kind};
+use crate::counts::Counts;
+use crate::jobs::learned::{Failures, Learned};
+use crate::jobs::plans::Plans;
 use crate::jobs::{Entry, JobSpec};
+use crate::membership::Standing;
 use crate::membership::shares::Member;
+use crate::placement::cache::Cache;
 use crate::policy::Policy;
 use crate::renting::service::RentState;
 use crate::settings::Settings;
-use crate::state::{Op, Replica, StateClient};
-use crate::workers::{Live, Stops, TaskId};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use crate::state::{Guard, Op, Replica, StateClient, rental_key};
+use crate::workers::{TaskId, Workers};
+use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, oneshot, watch};
 
-/// Run times of a class: actual over the owner's estimate, as mean and deviation.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Learned {
-    pub count: f64,
-    mean: f64,
-    m2: f64,
-}
-
-impl Learned {
-    pub fn add(&mut self, ratio: f64) {
-        self.count += 1.0;
-        let delta = ratio - self.mean;
-        self.mean += delta / self.count;
-        self.m2 += delta * (ratio - self.mean);
-    }
-
-    /// The paper's estimate, past mean plus one deviation, as a factor on the owner's estimate.
-    pub fn factor(&self) -> f64 {
-        if self.count < 4.0 {
-            return 1.0;
-        }
-        self.mean + (self.m2 / (self.count - 1.0)).sqrt()
-    }
-
-    pub fn mean(&self) -> f64 {
-        if self.count < 4.0 { 1.0 } else { self.mean }
-    }
-}
-
-/// How a job's tasks have failed.
-#[derive(Debug, Clone, Default)]
-pub struct Failures {
-    pub machines: HashSet<String>,
-    pub count: u32,
-    pub last: Option<Instant>,
-}
-
-impl Failures {
-    /// Failing wherever it is tried: no machine cures that.
-    pub fn is_everywhere(&self) -> bool {
-        self.machines.len() >= 2
-    }
-
-    /// Not to be tried again before this.
-    pub fn not_before(&self) -> Option<Instant> {
-        let wait = Duration::from_secs(1 << self.count.min(5));
-        self.last.filter(|_| self.is_everywhere()).map(|l| l + wait)
-    }
-}
-
-/// Changes to progress pages that are not recorded yet.
-pub type Overlay = BTreeMap<(String, usize), BTreeMap<u32, Entry>>;
-
+/// What the slices share of one node's state, each in its own part.
 pub struct Core {
     pub replica: Replica,
     /// When the request was sent whose answer last proved contact with the state service and
     /// brought all changes up to then.
     pub proof: Option<Instant>,
     pub loaded: bool,
-    pub lease: Option<u64>,
-    /// When the last call was sent that renewed the presence lease.
-    pub lease_proof: Option<Instant>,
-    /// Mark of the leader key under which this node did the leader's duties last.
-    pub leading: Option<u64>,
-    /// When machines changed hands last.
-    pub shared_at: Option<Instant>,
-    /// Since when this node has owned each of its machines under its present mark, and the mark.
-    pub owned: HashMap<String, (Instant, u64)>,
-    pub overlay: Overlay,
-    pub live: HashMap<String, Live>,
-    pub stops: Stops,
+    pub standing: Standing,
+    pub plans: Plans,
+    pub workers: Workers,
     pub learned: HashMap<String, Learned>,
     pub failures: HashMap<String, Failures>,
     pub kinds: Vec<Kind>,
     pub rent: RentState,
-    /// This node cannot hear most workers and leaves the lead to others until then.
-    pub stand_back_until: Option<Instant>,
+    pub views: Cache,
+    pub counts: Counts,
 }
 
 pub struct Node {
@@ -111,13 +55,12 @@
 impl Node {
     pub fn new(settings: Settings, policy: Policy) -> Self {
         let now = Instant::now();
-        let write_share = settings.params.state.write_rps / f64::from(settings.params.size);
         Self {
             me: Member {
                 name: settings.member.clone(),
                 incarnation: rand::random::<u64>() >> 12,
             },
-            state: StateClient::new(settings.endpoints.state, write_share),
+            state: StateClient::new(settings.endpoints.state, settings.state_share()),
             cloud: CloudClient::new(settings.endpoints.cloud),
             core: Mutex::new(Core::new(settings.page_len(), now)),
             sync_waiters: Mutex::default(),
@@ -168,7 +111,7 @@
     /// still and the machines stay.
     pub fn is_cut_off(&self) -> bool {
         let ttl = self.settings.presence_ttl();
-        let proof = self.core().lease_proof;
+        let proof = self.core().standing.lease_proof;
         let others = *self.peers_have_state.lock().unwrap();
         proof.is_none_or(|p| p.elapsed() > ttl)
             && others.is_some_and(|at| at.elapsed() < Duration::from_secs(4))
@@ -186,40 +129,34 @@
             replica: Replica::new(page_len),
             proof: None,
             loaded: false,
-            lease: None,
-            lease_proof: None,
-            leading: None,
-            shared_at: None,
-            owned: HashMap::new(),
-            overlay: Overlay::new(),
-            live: HashMap::new(),
-            stops: Stops::new(),
+            standing: Standing::default(),
+            plans: Plans::default(),
+            workers: Workers::default(),
             learned: HashMap::new(),
             failures: HashMap::new(),
             kinds: Vec::new(),
             rent: RentState::new(now),
-            stand_back_until: None,
+            views: Cache::new(now),
+            counts: Counts::new(now),
         }
     }
 
     /// Where a task stands, with what is about to be recorded.
     pub fn entry(&self, job: &str, task: u32) -> Entry {
-        let page = self.replica.page_of(task);
-        if let Some(changes) = self.overlay.get(&(job.to_owned(), page))
-            && let Some(entry) = changes.get(&task)
-        {
-            return entry.clone();
-        }
-        match self.replica.jobs.get(job) {
-            Some(job) => job.entry(self.replica.page_len, task),
-            None => Entry::default(),
+        match self.plans.get(job, task) {
+            Some(planned) => planned.clone(),
+            None => self.replica.entry(job, task),
         }
     }
 
     pub fn plan(&mut self, id: &TaskId, entry: Entry) {
-        let page = self.replica.page_of(id.1);
-        let changes = self.overlay.entry((id.0.clone(), page)).or_default();
-        changes.insert(id.1, entry);
+        let held = self.replica.entry(&id.0, id.1);
+        self.plans.insert(id, &held, entry);
+    }
+
+    pub fn unplan(&mut self, id: &TaskId) {
+        let held = self.replica.entry(&id.0, id.1);
+        self.plans.remove(id, &held);
     }
 
     pub fn kind(&self, name: &str) -> Option<&Kind> {
@@ -245,7 +182,7 @@
     pub fn apply(&mut self, ops: Vec<Op>, ledger: u64) {
         for op in ops {
             match op {
-                Op::Set { set, data, .. } => self.replica.put(&set, data, ledger),
+                Op::Set { set, data, .. } => self.replica.put(&set, data.get(), ledger),
                 Op::Drop { drop } => self.replica.remove(&drop, ledger),
             }
         }
@@ -254,51 +191,55 @@
     /// Whether this node places a job's tasks and ends it.
     pub fn owns_job(&self, me: &Member, id: &str) -> bool {
         let job = self.replica.jobs.get(id);
-        job.is_some_and(|job| self.replica.owner_of_team(&job.record.spec.team) == Some(me))
+        job.is_some_and(|job| self.replica.owner_of(&job.record) == Some(me))
+    }
+
+    /// The guard under which what is planned on a machine holds: its rental's key, which changes
+    /// with the machine's owner and with its way back. A machine in no record is provably gone.
+    pub fn machine_guard(&self, machine: &str) -> Option<Guard> {
+        let machine = self.replica.fleet.machines.get(machine)?;
+        let kept = self.replica.fleet.rentals.get(&machine.rental)?;
+        Some(Guard {
+            k: rental_key(&machine.rental),
+            mark: kept.mark,
+        })
     }
 
-    /// Keeps what is known in memory to the machines that this node owns.
+    /// Keeps what is known in memory to the machines that this node owns. Only machines whose
+    /// records changed are looked at.
     pub fn note_ownership(&mut self, me: &Member, now: Instant) {
-        let machines = &self.replica.machines;
-        let ours = |name: &String| machines.get(name).is_some_and(|k| k.record.owner == *me);
-        self.live.retain(|name, _| ours(name));
-        let lost: Vec<String> = self.owned.keys().filter(|n| !ours(n)).cloned().collect();
-        self.owned.retain(|name, _| ours(name));
-        self.rent.closing.retain(|name, _| ours(name));
-        let names: Vec<String> = machines.keys().filter(|n| ours(n)).cloned().collect();
-        for name in lost {
-            self.forget_seen(&name);
-        }
-        for name in names {
-            self.note_mark(&name, now);
+        for name in self.replica.fleet.take_changed() {
+            self.note_owner(me, &name, now);
         }
     }
 
-    /// A new mark on an owned machine's key may mean that it was another's in between, who acted
-    /// on it: what was seen before is void, and what is true of it will be reported again.
-    pub fn note_mark(&mut self, name: &str, now: Instant) {
-        let Some(mark) = self.replica.machines.get(name).map(|k| k.mark) else {
-            return;
-        };
-        if self
-            .owned
-            .get(name)
-            .is_some_and(|(_, known)| *known == mark)
-        {
+    /// A new token of an owned machine means that it was another's in between, who acted on it:
+    /// what was seen before is void, and what is true of it will be reported again.
+    pub fn note_owner(&mut self, me: &Member, name: &str, now: Instant) {
+        self.plans.touch_machine(name);
+        let machine = self.replica.fleet.machines.get(name);
+        let token = machine.filter(|m| m.owner == *me).map(|m| m.token);
+        let known = self.workers.owned.get(name).map(|(_, known)| *known);
+        if token == known {
             return;
         }
-        self.owned.insert(name.to_owned(), (now, mark));
+        match token {
+            Some(token) => {
+                self.workers.owned.insert(name.to_owned(), (now, token));
+            }
+            None => {
+                self.workers.owned.remove(name);
+                self.rent.closing.remove(name);
+            }
+        }
         self.forget_seen(name);
     }
 
     fn forget_seen(&mut self, name: &str) {
-        self.live.remove(name);
+        self.workers.live.remove(name);
         let on = self.replica.on.get(name).cloned().unwrap_or_default();
-        for (job, task) in on {
-            let page = self.replica.page_of(task);
-            if let Some(changes) = self.overlay.get_mut(&(job, page)) {
-                changes.remove(&task);
-            }
+        for id in on {
+            self.unplan(&id);
         }
     }
 }
--- /dev/null
+++ b/src/placement/cache.rs
@@ -0,0 +1,300 @@
+//! What the mapping works on, kept from turn to turn: only the machines and jobs that something
+//! happened to are looked at anew. Times are kept as seconds since the process began.
+
+use super::views::{STOP_TAKES_S, kinds_for, room_of};
+use super::{Chunk, MachineView, Names, Need, Zones};
+use crate::cloud::Kind;
+use crate::fleet::Use;
+use crate::jobs::{Entry, JobRecord, JobSpec};
+use crate::membership::shares::Member;
+use crate::node::{Core, age_s};
+use crate::workers::{Live, TaskId, TaskState};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// The expected boot time over the catalogue's.
+pub const BOOT: f64 = 1.1;
+/// Part of a machine's CPUs that stays free for its idle GPUs.
+const KEPT_FOR_GPUS: f64 = 0.8;
+/// A task that should have ended by now is expected to end this soon.
+const ANY_MOMENT_S: f64 = 1.0;
+
+/// How far a job has come.
+#[derive(Debug, Clone, Default)]
+pub struct Progress {
+    pub waiting: Arc<Vec<u32>>,
+    pub done: u32,
+    pub placed: u32,
+    pub zones: Zones,
+    pub kinds: Vec<u32>,
+    /// Name of the kind that its tasks most need.
+    pub pool: String,
+    pub image: u32,
+    pub zone: Option<u32>,
+    pub large: bool,
+    /// The part of a machine that a task fills.
+    pub share: f64,
+}
+
+/// A machine of ours that may be placed on.
+#[derive(Debug)]
+struct Seen {
+    view: MachineView,
+    /// From when its free room can be used, and when each task there should end.
+    up_at: f64,
+    free: Need,
+    busy: Vec<Chunk>,
+    heard: Option<Instant>,
+}
+
+#[derive(Debug)]
+pub struct Cache {
+    began: Instant,
+    pub names: Names,
+    machines: BTreeMap<String, Seen>,
+    pub jobs: BTreeMap<String, Progress>,
+    shares_mark: u64,
+    kinds_known: usize,
+}
+
+/// Most waiting tasks of one job that are looked at in one mapping.
+const MOST_WAITING: usize = 2000;
+
+impl Cache {
+    pub fn new(now: Instant) -> Self {
+        Self {
+            began: now,
+            names: Names::default(),
+            machines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            shares_mark: 0,
+            kinds_known: 0,
+        }
+    }
+
+    /// Machines that may be placed on now, with times from now on.
+    pub fn machine_views(&self, now: Instant, silent_s: f64) -> Vec<MachineView> {
+        let at = now.saturating_duration_since(self.began).as_secs_f64();
+        let heard = |seen: &&Seen| {
+            // One that missed reports may be gone: nothing new for it until it is heard again.
+            let heard = seen.heard.map(|h| now.saturating_duration_since(h));
+            heard.is_none_or(|h| h.as_secs_f64() <= silent_s)
+        };
+        let seen = self.machines.values().filter(heard);
+        seen.map(|seen| {
+            let mut view = seen.view.clone();
+            let up_in = match seen.heard {
+                Some(_) => (seen.up_at - at).max(0.0),
+                None => (seen.up_at - at).max(ANY_MOMENT_S),
+            };
+            view.chunks.push(Chunk {
+                at: up_in,
+                room: seen.free,
+            });
+            for task in &seen.busy {
+                view.chunks.push(Chunk {
+                    at: (task.at - at).max(up_in + ANY_MOMENT_S),
+                    room: task.room,
+                });
+            }
+            view.chunks.sort_by(|a, b| a.at.total_cmp(&b.at));
+            view
+        })
+        .collect()
+    }
+}
+
+/// Brings the cache up to date with all that changed. Returns how much was looked at anew.
+pub fn refresh(core: &mut Core, me: &Member, now: Instant, now_ms: u64) -> u64 {
+    let mut cache = std::mem::replace(&mut core.views, Cache::new(now));
+    let mut machines = core.replica.take_changed_on();
+    machines.extend(core.plans.take_changed_machines());
+    let mut jobs = core.replica.take_changed_jobs();
+    jobs.extend(core.plans.take_changed_jobs());
+    let mark = core.replica.shares.as_ref().map_or(0, |s| s.mark);
+    if mark != cache.shares_mark || cache.kinds_known != core.kinds.len() {
+        cache.shares_mark = mark;
+        cache.kinds_known = core.kinds.len();
+        jobs.extend(core.replica.jobs.keys().cloned());
+        machines.extend(core.replica.fleet.machines.keys().cloned());
+    }
+    let at = now.saturating_duration_since(cache.began).as_secs_f64();
+    for name in &machines {
+        match see_machine(core, me, &mut cache.names, name, at, now, now_ms) {
+            Some(seen) => {
+                cache.machines.insert(name.clone(), seen);
+            }
+            None => {
+                cache.machines.remove(name);
+            }
+        }
+    }
+    for id in &jobs {
+        let job = core.replica.jobs.get(id).filter(|_| core.owns_job(me, id));
+        match job.filter(|job| !job.record.cancelled) {
+            Some(job) => {
+                let progress = progress(core, &mut cache.names, &job.record);
+                cache.jobs.insert(id.clone(), progress);
+            }
+            None => {
+                cache.jobs.remove(id);
+            }
+        }
+    }
+    core.views = cache;
+    (machines.len() + jobs.len()) as u64
+}
+
+fn progress(core: &Core, names: &mut Names, record: &JobRecord) -> Progress {
+    let spec = &record.spec;
+    let mut out = Progress::default();
+    let mut waiting = Vec::new();
+    for task in 0..spec.tasks {
+        match core.entry(&spec.id, task) {
+            Entry::Waiting { .. } if waiting.len() < MOST_WAITING => waiting.push(task),
+            Entry::Waiting { .. } => {}
+            Entry::Done => out.done += 1,
+            Entry::Placed { machine, .. } => {
+                out.placed += 1;
+                if let Some(machine) = core.replica.fleet.machines.get(&machine) {
+                    *out.zones.entry(names.number(&machine.zone)).or_default() += 1;
+                }
+            }
+        }
+    }
+    out.waiting = Arc::new(waiting);
+    let kinds = kinds_for(core, spec);
+    out.kinds = kinds.iter().map(|k| names.number(k)).collect();
+    out.pool = kinds.into_iter().next().unwrap_or_default();
+    out.image = names.number(&spec.image);
+    out.zone = spec.zone.as_ref().map(|z| names.number(z));
+    let kind = core.kind(&out.pool);
+    out.share = kind.map_or(0.0, |k| spec.need().share(&room_of(k)));
+    out.large = out.share > 0.5;
+    out
+}
+
+/// Tasks on a machine: recorded, about to be recorded, or reported.
+pub fn tasks_on(core: &Core, name: &str) -> BTreeSet<TaskId> {
+    let mut on: BTreeSet<TaskId> = BTreeSet::new();
+    let here = |id: &TaskId| matches!(core.entry(&id.0, id.1), Entry::Placed { machine, .. } if machine == name);
+    let recorded = core.replica.on.get(name).into_iter().flatten();
+    on.extend(recorded.filter(|id| here(id)).cloned());
+    on.extend(core.plans.on(name).cloned());
+    if let Some(live) = core.workers.live.get(name) {
+        for task in &live.report.tasks {
+            if task.state != TaskState::Ended
+                && let Some((job, index)) = crate::jobs::split_task(&task.task)
+            {
+                on.insert((job.to_owned(), index));
+            }
+        }
+    }
+    on
+}
+
+pub fn spec_of<'a>(core: &'a Core, job: &str) -> Option<&'a JobSpec> {
+    let live = core.replica.jobs.get(job).map(|j| &j.record.spec);
+    live.or_else(|| core.replica.departed.get(job).map(|r| &r.spec))
+}
+
+fn see_machine(
+    core: &Core,
+    me: &Member,
+    names: &mut Names,
+    name: &str,
+    at: f64,
+    now: Instant,
+    now_ms: u64,
+) -> Option<Seen> {
+    let record = core.replica.fleet.machines.get(name)?;
+    if record.owner != *me || record.state != Use::Open || core.rent.closing.contains_key(name) {
+        return None;
+    }
+    let kind = core.kind(&record.kind)?;
+    let live = core.workers.live.get(name);
+    // Taken by the cloud, or deaf: it takes nothing new, and is no room to count on.
+    if live.is_some_and(|l| l.taken_at.is_some() || l.deaf.is_some()) {
+        return None;
+    }
+    let ready = live.filter(|l| l.confirmed);
+    let up_at = match ready {
+        Some(_) => at,
+        // Up, but yet to show that it hears us.
+        None if live.is_some() => at + ANY_MOMENT_S,
+        None => at + (kind.boot_s * BOOT - age_s(record.hired_ms, now_ms)).max(ANY_MOMENT_S),
+    };
+    let mut free = room_of(kind);
+    let mut busy: Vec<Chunk> = Vec::new();
+    for id in tasks_on(core, name) {
+        // A task whose size nobody knows: no room is certain until it is gone.
+        let spec = spec_of(core, &id.0)?;
+        free.sub(&spec.need());
+        busy.push(Chunk {
+            at: up_at + remaining(core, spec, &id, live, kind, now),
+            room: spec.need(),
+        });
+    }
+    let mut images: HashSet<u32> = HashSet::new();
+    if let Some(live) = live {
+        images.extend(live.images.iter().map(|(name, _)| names.number(name)));
+    }
+    let view = MachineView {
+        name: name.into(),
+        kind: names.number(&record.kind),
+        zone: names.number(&record.zone),
+        spot: record.spot,
+        chunks: Vec::new(),
+        images: images.into_iter().collect(),
+        fetch_gb_per_s: kind.fetch_gb_per_s,
+        slowness: live.map_or(1.0, |l| l.slowness),
+        price: match record.spot {
+            true => kind.spot_price,
+            false => kind.price,
+        },
+        cpus_per_gpu: match kind.gpus > 0.0 {
+            true => kind.cpus / kind.gpus * KEPT_FOR_GPUS,
+            false => 0.0,
+        },
+        holds: Vec::new(),
+    };
+    Some(Seen {
+        view,
+        up_at,
+        free,
+        busy,
+        heard: ready.map(|l| l.heard),
+    })
+}
+
+/// Expected remainder of a task on a machine.
+fn remaining(
+    core: &Core,
+    spec: &JobSpec,
+    id: &TaskId,
+    live: Option<&Live>,
+    kind: &Kind,
+    now: Instant,
+) -> f64 {
+    if let Entry::Placed { attempt, .. } = core.entry(&id.0, id.1)
+        && let Some(grace) = core.workers.stops.get(&(id.clone(), attempt))
+    {
+        return STOP_TAKES_S + grace;
+    }
+    let slowness = live.map_or(1.0, |l| l.slowness);
+    let whole = core.duration(spec) * slowness;
+    let fetch = spec.image_gb / kind.fetch_gb_per_s.max(0.001);
+    let Some(live) = live else {
+        return fetch + whole;
+    };
+    if let Some((_, since)) = live.running_since.get(id) {
+        let ran = now.saturating_duration_since(*since).as_secs_f64();
+        return (whole - ran).max(1.0 + ran * 0.1);
+    }
+    let seen = live.seen_since.get(id);
+    let waited = seen.map_or(0.0, |(_, since)| {
+        now.saturating_duration_since(*since).as_secs_f64()
+    });
+    (fetch - waited).max(0.0) + whole
+}
--- /dev/null
+++ b/src/placement/forecast.rs
@@ -0,0 +1,258 @@
+//! What becomes of all that waits: each task on the machine where it ends first, however long it
+//! waits there (the paper's equation 1). Done once a period, it predicts the misses.
+
+use super::{JobView, MachineView, NEAR, SLACK, Zones, batch_order, gang_places, startup_order};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashSet};
+use std::sync::Arc;
+
+/// Counts of a job's mapped tasks.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Mapped {
+    pub tasks: u32,
+    /// Expected to be late.
+    pub late: u32,
+    /// Of these, the ones that a machine rented now would start sooner.
+    pub helped: u32,
+}
+
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct Forecast {
+    /// Per job, what was mapped.
+    pub mapped: Vec<Mapped>,
+    /// Machines that work of their sort was mapped to.
+    pub used: HashSet<Arc<str>>,
+    pub steps: u64,
+}
+
+/// Tasks of one job that are mapped one by one; of a larger job the rest is taken to fare as the
+/// last of them did.
+const MOST_OF_A_JOB: usize = 1000;
+
+struct Progress {
+    next: usize,
+    begun: u32,
+    zones: Zones,
+}
+
+struct Mapper<'a> {
+    jobs: &'a [JobView],
+    progress: Vec<Progress>,
+    machines: Vec<MachineView>,
+    out: Forecast,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Best {
+    machine: usize,
+    start: f64,
+    fetch: f64,
+    end: f64,
+}
+
+impl Mapper<'_> {
+    fn left(&self, job: usize) -> usize {
+        let view = &self.jobs[job];
+        let most = view.waiting.len().min(view.quota as usize);
+        most.saturating_sub(self.progress[job].next)
+    }
+
+    fn on(&self, job: usize, machine: usize) -> Option<Best> {
+        let (view, at) = (&self.jobs[job], &self.machines[machine]);
+        let start = at.start_for(&view.need)?;
+        let fetch = at.fetch_time(view);
+        Some(Best {
+            machine,
+            start,
+            fetch,
+            end: start + fetch + view.duration * at.slowness,
+        })
+    }
+
+    /// Ends in steps that count as equal, then the cheaper and fuller machine.
+    fn rank(&self, job: usize, best: &Best) -> (u64, u64, usize) {
+        let near = (self.jobs[job].duration * NEAR).max(SLACK);
+        let machine = &self.machines[best.machine];
+        let price = ((machine.price + machine.emptiness()) * 1e6) as u64;
+        ((best.end / near) as u64, price, best.machine)
+    }
+
+    fn usable(&self, job: usize, machine: usize) -> bool {
+        let (view, at) = (&self.jobs[job], &self.machines[machine]);
+        view.may_use(at) && view.may_enter(&self.progress[job].zones, at.zone)
+    }
+
+    fn best(&mut self, job: usize) -> Option<Best> {
+        let mut found: Option<((u64, u64, usize), Best)> = None;
+        for machine in 0..self.machines.len() {
+            self.out.steps += 1;
+            if !self.usable(job, machine) {
+                continue;
+            }
+            if let Some(best) = self.on(job, machine) {
+                let rank = self.rank(job, &best);
+                if found.as_ref().is_none_or(|(least, _)| rank < *least) {
+                    found = Some((rank, best));
+                }
+            }
+        }
+        found.map(|(_, best)| best)
+    }
+
+    fn put(&mut self, job: usize, at: &Best) {
+        let view = &self.jobs[job];
+        let progress = &mut self.progress[job];
+        progress.next += 1;
+        progress.begun += 1;
+        let machine = &mut self.machines[at.machine];
+        machine.occupy(&view.need, at.start, at.end);
+        machine.use_image(view.image);
+        if machine.cpus_per_gpu == 0.0 || view.need.gpus > 0.0 {
+            self.out.used.insert(machine.name.clone());
+        }
+        if at.start <= SLACK {
+            *progress.zones.entry(machine.zone).or_default() += 1;
+        }
+        let mapped = &mut self.out.mapped[job];
+        mapped.tasks += 1;
+        let late = view.is_late(at.start, at.fetch, at.end);
+        mapped.late += u32::from(late);
+        mapped.helped += u32::from(late && at.start > view.rented_in);
+    }
+
+    /// All that is left of an array job: the machines in a heap, by where a task would end first.
+    fn run(&mut self, job: usize) {
+        let mut heap = BinaryHeap::new();
+        for machine in 0..self.machines.len() {
+            self.out.steps += 1;
+            if self.usable(job, machine)
+                && let Some(best) = self.on(job, machine)
+            {
+                heap.push(Reverse(self.rank(job, &best)));
+            }
+        }
+        let mut mapped = 0;
+        let mut last_late = true;
+        while self.left(job) > 0 && mapped < MOST_OF_A_JOB {
+            let Some(Reverse((_, _, machine))) = heap.pop() else {
+                break;
+            };
+            if !self.usable(job, machine) {
+                continue;
+            }
+            let Some(best) = self.on(job, machine) else {
+                continue;
+            };
+            let view = &self.jobs[job];
+            last_late = view.is_late(best.start, best.fetch, best.end);
+            self.put(job, &best);
+            mapped += 1;
+            self.out.steps += 1;
+            if let Some(next) = self.on(job, machine) {
+                heap.push(Reverse(self.rank(job, &next)));
+            }
+        }
+        self.rest(job, last_late);
+    }
+
+    fn gang(&mut self, job: usize) {
+        let size = self.jobs[job].waiting.len();
+        if (self.jobs[job].quota as usize) < size {
+            self.progress[job].next = size;
+            return;
+        }
+        let view = &self.jobs[job];
+        let Some(places) = gang_places(view, size, &self.machines, &mut self.out.steps) else {
+            self.rest(job, true);
+            return;
+        };
+        let start = places.iter().map(|p| p.start).fold(0.0, f64::max);
+        let end = places.iter().map(|p| p.end).fold(0.0, f64::max);
+        for place in places {
+            let at = Best {
+                machine: place.machine,
+                start,
+                fetch: place.fetch,
+                end,
+            };
+            self.put(job, &at);
+        }
+    }
+
+    /// What no machine can take waits, and counts as late.
+    fn rest(&mut self, job: usize, late: bool) {
+        let rest = self.left(job) as u32;
+        let mapped = &mut self.out.mapped[job];
+        mapped.tasks += rest;
+        mapped.late += if late { rest } else { 0 };
+        mapped.helped += if late { rest } else { 0 };
+        self.progress[job].next = self.jobs[job].waiting.len();
+    }
+
+    /// The paper's guard: a startup task goes ahead only if the batch head would still be in time.
+    fn startup_may_pass(&mut self, first: usize, at: &Best, head: usize) -> bool {
+        let Some(alone) = self.best(head) else {
+            return true;
+        };
+        let late = |at: &Best| self.jobs[head].is_late(at.start, at.fetch, at.end);
+        if alone.machine != at.machine {
+            return !late(&alone);
+        }
+        let need = self.jobs[first].need;
+        let machine = self.machines[at.machine].clone();
+        self.machines[at.machine].occupy(&need, at.start, at.end);
+        let after = self.best(head);
+        self.machines[at.machine] = machine;
+        after.is_some_and(|after| !self.jobs[head].is_late(after.start, after.fetch, after.end))
+    }
+}
+
+/// Maps all waiting tasks. `startup_count` tasks of each job are startup tasks.
+pub fn forecast(jobs: &[JobView], machines: &[MachineView], startup_count: u32) -> Forecast {
+    let mut mapper = Mapper {
+        jobs,
+        progress: jobs
+            .iter()
+            .map(|job| Progress {
+                next: 0,
+                begun: job.begun,
+                zones: job.zones.clone(),
+            })
+            .collect(),
+        machines: machines.to_vec(),
+        out: Forecast {
+            mapped: vec![Mapped::default(); jobs.len()],
+            ..Forecast::default()
+        },
+    };
+    let batch = batch_order(jobs);
+    let startup = startup_order(jobs);
+    let (mut batch_at, mut startup_at) = (0, 0);
+    loop {
+        while batch_at < jobs.len() && mapper.left(batch[batch_at]) == 0 {
+            batch_at += 1;
+        }
+        let in_startup = |mapper: &Mapper, job: usize| {
+            mapper.left(job) > 0 && mapper.progress[job].begun < startup_count && !jobs[job].gang
+        };
+        while startup_at < jobs.len() && !in_startup(&mapper, startup[startup_at]) {
+            startup_at += 1;
+        }
+        let Some(&head) = batch.get(batch_at) else {
+            break;
+        };
+        if let Some(&first) = startup.get(startup_at)
+            && first != head
+            && !jobs[head].gang
+            && let Some(at) = mapper.best(first)
+            && mapper.startup_may_pass(first, &at, head)
+        {
+            mapper.put(first, &at);
+        } else if jobs[head].gang {
+            mapper.gang(head);
+        } else {
+            mapper.run(head);
+        }
+    }
+    mapper.out
+}
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -1,10 +1,11 @@
 //! Making room: tasks that are stopped so that work of higher priority, or of a team within its
 //! guarantee, starts in time; and tasks that save before the cloud takes their machine.
 
-use super::{JobView, MachineView, Mapping, Need};
+use super::now::Waits;
+use super::{JobView, MachineView, Need};
 use crate::jobs::Urgency;
 use crate::workers::TaskId;
-use std::collections::BTreeMap;
+use std::collections::{HashMap, HashSet};
 
 /// A task on a machine, as far as stopping it goes.
 #[derive(Debug, Clone)]
@@ -30,81 +31,105 @@
     pub guaranteed: bool,
 }
 
-/// Most work that is lost for a start, in seconds of the starting task's own size. Beyond it the
+/// Most work that is lost for a start, in seconds of the starting tasks' own size. Beyond it the
 /// work done twice makes more tasks late than it saves.
 const MOST_LOST_S: f64 = 2.0;
+/// A gang waits for many machines at once; until the last one is empty the others stand idle.
+/// Stopping what keeps them from it costs no more than that.
+const MOST_LOST_FOR_GANG_S: f64 = 15.0;
 
 fn may_stop(claim: &Claim, victim: &Occupant) -> bool {
     !victim.fixed && (victim.urgency < claim.urgency || (claim.guaranteed && victim.borrowing))
 }
 
-/// Which tasks to stop. Only single tasks that would be late where they now are expected to
-/// start, and in time if room were made, make room; each on the machine where least is lost.
+/// A machine, and the tasks there that give way.
+type Cleared = (usize, Vec<TaskId>);
+
+/// Which tasks to stop. Jobs that would be late where they are expected to start, and in time if
+/// room were made, make room; each on the machines where least is lost. A gang needs room for
+/// all its tasks, in one zone where it must share one.
 pub fn choose(
     jobs: &[JobView],
     claims: &[Claim],
-    mapping: &Mapping,
+    waits: &[Waits],
     machines: &[MachineView],
-    occupants: &BTreeMap<String, Vec<Occupant>>,
+    occupants: &dyn Fn(&str) -> Vec<Occupant>,
     stop_takes_s: f64,
     most: usize,
 ) -> Vec<(TaskId, u64, f64)> {
     let mut stops: Vec<(TaskId, u64, f64)> = Vec::new();
-    let mut touched: Vec<&str> = Vec::new();
-    let mut order: Vec<usize> = (0..jobs.len()).collect();
+    let mut touched: HashSet<usize> = HashSet::new();
+    let mut there: HashMap<usize, Vec<Occupant>> = HashMap::new();
+    let mut order: Vec<&Waits> = waits.iter().collect();
     order.sort_by(|a, b| {
-        let key = |i: &usize| (std::cmp::Reverse(claims[*i].urgency), jobs[*i].due);
-        let (a, b) = (key(a), key(b));
-        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        let (a, b) = (a.job, b.job);
+        let urgency = claims[b].urgency.cmp(&claims[a].urgency);
+        urgency.then(jobs[a].due.total_cmp(&jobs[b].due))
     });
-    for index in order {
-        let job = &jobs[index];
-        let late = mapping.mapped[index].late;
-        if late == 0 || (job.gang && job.waiting.len() > 1) {
+    for wait in order {
+        let (job, claim) = (&jobs[wait.job], &claims[wait.job]);
+        if touched.len() >= most {
+            break;
+        }
+        let soon = |start: f64| {
+            start <= stop_takes_s * 2.0 || !job.is_late(start, 0.0, start + job.duration)
+        };
+        if wait.start.is_some_and(soon) {
             continue;
         }
-        for _ in 0..late {
-            if touched.len() >= most {
-                return stops;
-            }
-            let mut found: Option<(f64, &str, Vec<&Occupant>)> = None;
-            for machine in machines {
-                if touched.contains(&machine.name.as_str())
-                    || !super::allowed(job, &job.zones, machine)
+        let size = if job.gang { job.waiting.len() } else { 1 };
+        let mut best: Option<(f64, Vec<Cleared>)> = None;
+        for zone in super::zones_for(job, machines) {
+            let mut chances = Vec::new();
+            for (index, machine) in machines.iter().enumerate() {
+                if zone.is_some_and(|z| z != machine.zone)
+                    || touched.contains(&index)
+                    || !job.may_use(machine)
+                    || !job.may_enter(&job.zones, machine.zone)
                 {
                     continue;
                 }
-                let fetch = super::fetch_time(job, machine);
-                let start = stop_takes_s + fetch;
-                let end = start + job.duration * machine.slowness;
-                let in_time = match job.by {
-                    super::By::Start => start <= job.due,
-                    super::By::End => end <= job.due,
-                };
-                let there = occupants.get(&machine.name);
-                let Some(there) = there.filter(|_| in_time) else {
-                    continue;
-                };
-                let Some((lost, victims)) = victims(&job.need, &claims[index], machine, there)
-                else {
+                let fetch = machine.fetch_time(job);
+                let start = stop_takes_s;
+                let end = start + fetch + job.duration * machine.slowness;
+                if job.is_late(start, fetch, end) && !job.gang {
                     continue;
-                };
-                let cost = lost + fetch * job.need.cpus;
-                if found.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                    found = Some((cost, &machine.name, victims));
+                }
+                let there = there
+                    .entry(index)
+                    .or_insert_with(|| occupants(&machine.name));
+                if let Some((lost, victims)) = victims(&job.need, claim, machine, there) {
+                    let victims: Vec<TaskId> = victims.iter().map(|v| v.id.clone()).collect();
+                    chances.push((lost, index, victims));
                 }
             }
-            let Some((_, machine, victims)) = found else {
-                break;
+            chances.sort_by(|a, b| a.0.total_cmp(&b.0));
+            chances.truncate(size);
+            let lost: f64 = chances.iter().map(|c| c.0).sum();
+            let bearable = match job.gang && size > 1 {
+                true => MOST_LOST_FOR_GANG_S,
+                false => MOST_LOST_S,
             };
-            touched.push(machine);
-            stops.extend(victims.iter().map(|v| (v.id.clone(), v.attempt, v.grace_s)));
+            let limit = bearable * job.need.cpus.max(job.need.gpus * 8.0) * size as f64;
+            let enough = chances.len() == size && lost <= limit;
+            if enough && best.as_ref().is_none_or(|(least, _)| lost < *least) {
+                let chosen = chances.into_iter().map(|c| (c.1, c.2)).collect();
+                best = Some((lost, chosen));
+            }
+        }
+        for (machine, victims) in best.into_iter().flat_map(|(_, chosen)| chosen) {
+            touched.insert(machine);
+            for occupant in &there[&machine] {
+                if victims.contains(&occupant.id) {
+                    stops.push((occupant.id.clone(), occupant.attempt, occupant.grace_s));
+                }
+            }
         }
     }
     stops
 }
 
-/// The tasks of a machine whose stopping frees enough at the least loss.
+/// The tasks of a machine whose stopping frees enough at the least loss; none where it has room.
 fn victims<'a>(
     need: &Need,
     claim: &Claim,
@@ -127,15 +152,14 @@
         lost += victim.lost_s * victim.need.cpus.max(victim.need.gpus * 8.0);
         chosen.push(victim);
     }
-    let bearable = lost <= MOST_LOST_S * need.cpus.max(need.gpus * 8.0);
-    (need.fits(&room) && !chosen.is_empty() && bearable).then_some((lost, chosen))
+    need.fits(&room).then_some((lost, chosen))
 }
 
 #[cfg(test)]
 mod tests {
-    use super::super::Mapped;
     use super::super::tests::{job, machine};
     use super::*;
+    use std::collections::BTreeMap;
 
     #[test]
     fn only_lower_priority_gives_way_and_least_is_lost() {
@@ -167,10 +191,10 @@
                 ],
             ),
         ]);
-        let late = Mapping {
-            mapped: vec![Mapped { tasks: 1, late: 1 }],
-            ..Mapping::default()
-        };
+        let late = [Waits {
+            job: 0,
+            start: None,
+        }];
         let mut trace = String::new();
         for (what, guaranteed, due) in [
             ("by priority", false, 20.0),
@@ -187,7 +211,7 @@
                 &[claim],
                 &late,
                 &machines,
-                &occupants,
+                &|name| occupants[name].clone(),
                 3.0,
                 2,
             );
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -1,36 +1,48 @@
 //! The placing loop: plans starts, and has them recorded before anything acts on them.
 
-use super::{Mapping, map, preempt, views};
-use crate::jobs::{Entry, JobSpec, writer};
+use super::{cache, now, preempt, views};
+use crate::counts;
+use crate::jobs::{Entry, JobSpec, Urgency, writer};
 use crate::membership;
 use crate::node::{Core, Node, wall_ms};
 use crate::renting;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const TICK: Duration = Duration::from_millis(400);
-const SHORTEST: Duration = Duration::from_millis(60);
-/// Most tasks mapped in a tick; a period's mapping takes in all.
+const SHORTEST: Duration = Duration::from_millis(80);
+const LONGEST: Duration = Duration::from_millis(600);
+/// Placing takes no more than a part of the time: reports, health probes and polls come between.
+const PAUSE_PER_WORK: u32 = 3;
+/// Most tasks started in a tick.
 const MOST_IN_TICK: usize = 400;
 
 pub async fn run(node: Arc<Node>) {
+    let mut logged = Instant::now();
     loop {
         let _ = tokio::time::timeout(TICK, node.stirred.notified()).await;
+        let mut pause = SHORTEST;
         if node.core().loaded {
             node.tick_begins();
-            tick(&node).await;
+            let worked = tick(&node).await;
             node.tick_ended();
+            // Where writes are scarce, a record should hold more starts rather than come sooner.
+            let scarce = LONGEST.mul_f64(1.0 - node.state.writes_at_ease());
+            pause = pause.max(worked * PAUSE_PER_WORK).max(scarce);
         }
-        tokio::time::sleep(SHORTEST).await;
+        if logged.elapsed().as_secs_f64() >= node.policy.period_s {
+            logged = Instant::now();
+            counts::log_period(&node, logged);
+        }
+        tokio::time::sleep(pause).await;
     }
 }
 
-async fn tick(node: &Arc<Node>) {
+/// One turn of placing. Returns how long it kept everything else waiting.
+async fn tick(node: &Arc<Node>) -> Duration {
     let mark = membership::lead_mark(node);
-    let before = std::mem::replace(&mut node.core().leading, mark);
-    if before != mark {
-        tracing::info!(?mark, "the lead changed hands");
-    }
+    membership::note_lead(node, mark);
     if let Some(mark) = mark {
         membership::share_out(node, mark).await;
     }
@@ -40,40 +52,106 @@
         let mut core = node.core();
         core.note_ownership(&node.me, now);
         if core.kinds.is_empty() {
-            return;
+            return Duration::ZERO;
         }
         clear_gone(node, &mut core);
+        core.counts.views += cache::refresh(&mut core, &node.me, now, now_ms);
         let mut views = views::build(node, &core, now, now_ms);
         // The first event waits for the first job, and is then at once.
-        if !core.replica.jobs.is_empty() || !core.replica.machines.is_empty() {
+        if !core.replica.jobs.is_empty() || !core.replica.fleet.machines.is_empty() {
             renting::service::look_ahead(node, &mut core, &views, now, now_ms);
         }
-        let startup = node.policy.startup_count;
-        let mapping = map(&views.jobs, &views.machines, startup, MOST_IN_TICK);
-        plan(&mut core, &mut views, &mapping);
-        make_room(node, &mut core, &views, &mapping);
+        if !views.jobs.is_empty() {
+            let startup = node.policy.startup_count;
+            let placing = now::place(&views.jobs, &mut views.machines, startup, MOST_IN_TICK);
+            core.counts.steps += placing.steps;
+            core.counts.starts += placing.starts.len() as u64;
+            plan(&mut core, &mut views, &placing.starts);
+            make_room(node, &mut core, &views, &placing.waits, now);
+        }
+        stop_broken_gangs(&mut core);
         save_from_notices(node, &mut core, now);
     }
+    let worked = now.elapsed();
+    {
+        let mut core = node.core();
+        core.counts.ticks += 1;
+        core.counts.placing += worked;
+        core.counts.longest = core.counts.longest.max(worked);
+    }
     writer::write(node, mark.is_some()).await;
+    worked
 }
 
 /// Most machines on which room is made in a tick.
-const MOST_CLEARED: usize = 2;
+const MOST_CLEARED: usize = 24;
 
-fn make_room(node: &Node, core: &mut Core, views: &views::Views, mapping: &Mapping) {
+fn make_room(
+    node: &Node,
+    core: &mut Core,
+    views: &views::Views,
+    waits: &[now::Waits],
+    now: Instant,
+) {
+    let running = core.replica.jobs.values().filter(|j| j.placed > 0);
+    let lowest = running.map(|j| j.record.spec.urgency).min();
+    let lowest = lowest.unwrap_or(Urgency::Critical);
+    let may = |wait: &&now::Waits| {
+        let claim = &views.claims[wait.job];
+        claim.guaranteed || claim.urgency > lowest
+    };
+    let waits: Vec<now::Waits> = waits.iter().filter(may).cloned().collect();
+    if waits.is_empty() {
+        return;
+    }
     let takes = views::STOP_TAKES_S + node.settings.params.workers.report_s;
+    let used = views::team_use(node, core);
     let stops = preempt::choose(
         &views.jobs,
         &views.claims,
-        mapping,
+        &waits,
         &views.machines,
-        &views.occupants,
+        &|name| views::occupants(node, core, &used, name, now),
         takes,
         MOST_CLEARED,
     );
     for (id, attempt, grace) in stops {
         tracing::debug!(job = id.0, task = id.1, "stopped to make room");
-        core.stops.insert((id, attempt), grace);
+        stop(core, id, attempt, grace);
+    }
+}
+
+fn stop(core: &mut Core, id: crate::workers::TaskId, attempt: u64, grace: f64) {
+    if let Entry::Placed { machine, .. } = core.entry(&id.0, id.1) {
+        core.plans.touch_machine(&machine);
+    }
+    core.workers.stops.entry((id, attempt)).or_insert(grace);
+}
+
+/// A gang that lost a task before its end cannot complete: its other tasks would hold their
+/// places until they notice, or for as long as they may wait for it.
+fn stop_broken_gangs(core: &mut Core) {
+    let mut stops = Vec::new();
+    for (id, progress) in &core.views.jobs {
+        if progress.placed == 0 || progress.done > 0 || progress.waiting.is_empty() {
+            continue;
+        }
+        let Some(job) = core
+            .replica
+            .jobs
+            .get(id)
+            .filter(|j| j.record.spec.is_gang())
+        else {
+            continue;
+        };
+        for task in 0..job.record.spec.tasks {
+            if let Entry::Placed { attempt, .. } = core.entry(id, task) {
+                stops.push(((id.clone(), task), attempt));
+            }
+        }
+    }
+    for (id, attempt) in stops {
+        stop(core, id, attempt, 0.0);
     }
 }
 
@@ -82,7 +160,7 @@
 fn save_from_notices(node: &Node, core: &mut Core, now: Instant) {
     let report = node.settings.params.workers.report_s;
     let mut stops = Vec::new();
-    for (name, live) in &core.live {
+    for (name, live) in &core.workers.live {
         let Some(at) = live.taken_at else {
             continue;
         };
@@ -111,8 +189,8 @@
             }
         }
     }
-    for (key, grace) in stops {
-        core.stops.entry(key).or_insert(grace);
+    for ((id, attempt), grace) in stops {
+        stop(core, id, attempt, grace);
     }
 }
 
@@ -127,11 +205,12 @@
 
 /// Tasks on machines whose record is gone: it is dropped only once the machine provably is.
 fn clear_gone(node: &Node, core: &mut Core) {
+    let fleet = &core.replica.fleet.machines;
     let gone: Vec<_> = core
         .replica
         .on
         .iter()
-        .filter(|(name, _)| !core.replica.machines.contains_key(*name))
+        .filter(|(name, _)| !fleet.contains_key(*name))
         .flat_map(|(_, on)| on.iter().cloned())
         .filter(|(job, _)| core.owns_job(&node.me, job))
         .collect();
@@ -139,26 +218,31 @@
         if let Entry::Placed {
             attempt, machine, ..
         } = core.entry(&id.0, id.1)
-            && !core.replica.machines.contains_key(&machine)
+            && !core.replica.fleet.machines.contains_key(&machine)
         {
             core.plan(&id, Entry::Waiting { last: attempt });
         }
     }
 }
 
-fn plan(core: &mut Core, views: &mut views::Views, mapping: &Mapping) {
+fn plan(core: &mut Core, views: &mut views::Views, starts: &[super::Start]) {
     // All tasks of a gang take part in one attempt, by whose number they find one another.
-    let mut gang_attempts = std::collections::HashMap::new();
-    for (index, job) in views.jobs.iter().enumerate() {
-        if job.gang {
+    let mut gang_attempts = HashMap::new();
+    let mut refused = HashSet::new();
+    for start in starts {
+        let job = &views.jobs[start.job];
+        let machine = &views.machines[start.machine];
+        if !core.workers.live.contains_key(&*machine.name) {
+            refused.insert(start.job); // a gang starts whole or not at all
+        }
+        if job.gang && !gang_attempts.contains_key(&start.job) {
             let last = job.waiting.iter();
             let last = last.map(|t| core.entry(&job.id, *t).last_attempt());
-            gang_attempts.insert(index, last.max().unwrap_or(0) + 1);
+            gang_attempts.insert(start.job, last.max().unwrap_or(0) + 1);
         }
     }
-    let mut gangs_let_in = std::collections::HashSet::new();
-    let mut refused = std::collections::HashSet::new();
-    for start in &mapping.starts {
+    let mut gangs_let_in = HashSet::new();
+    for start in starts {
         let job = &views.jobs[start.job];
         if refused.contains(&start.job) {
             continue;
@@ -188,18 +272,22 @@
             Some(attempt) => *attempt,
             None => core.entry(&id.0, id.1).last_attempt() + 1,
         };
-        let Some(live) = core.live.get_mut(&machine.name) else {
+        let Some(spec) = cache::spec_of(core, &job.id) else {
+            continue;
+        };
+        let (image, image_gb) = (spec.image.clone(), spec.image_gb);
+        let Some(live) = core.workers.live.get_mut(&*machine.name) else {
             continue;
         };
         let session = live.report.session;
-        let cache = core.kinds.iter().find(|k| k.name == machine.kind);
-        let cache = cache.map_or(0.0, |k| k.cache_gb);
-        live.use_image(&job.image, job.image_gb, cache);
+        let cache_gb = core.kinds.iter().find(|k| k.name == live.report.kind);
+        let cache_gb = cache_gb.map_or(0.0, |k| k.cache_gb);
+        live.use_image(&image, image_gb, cache_gb);
         core.plan(
             &id,
             Entry::Placed {
                 attempt,
-                machine: machine.name.clone(),
+                machine: machine.name.to_string(),
                 session,
             },
         );
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,10 +1,12 @@
+use super::forecast::forecast;
+use super::now::place;
 use super::*;
 
 pub fn machine(name: &str, free_at: f64, cpus: f64) -> MachineView {
     MachineView {
         name: name.into(),
-        kind: "m".into(),
-        zone: "a".into(),
+        kind: 0,
+        zone: 0,
         spot: false,
         chunks: vec![Chunk {
             at: free_at,
@@ -14,11 +16,12 @@
                 memory_gb: 64.0,
             },
         }],
-        images: HashSet::new(),
+        images: Vec::new(),
         fetch_gb_per_s: 1.0,
         slowness: 1.0,
         cpus_per_gpu: 0.0,
         price: 1.0,
+        holds: Vec::new(),
     }
 }
 
@@ -31,20 +34,22 @@
             gpus: 0.0,
             memory_gb: 1.0,
         },
-        kinds: vec!["m".into()],
+        large: false,
+        kinds: vec![0],
         zone: None,
         spot: true,
         one_zone: false,
         most_in_zone: tasks,
         zones: BTreeMap::new(),
-        waiting: (0..tasks).collect(),
+        waiting: Arc::new((0..tasks).collect()),
         begun: 0,
         arrived: 0.0,
         guaranteed: false,
         due,
         by: By::End,
         duration: 30.0,
-        image: "i".into(),
+        rented_in: 0.0,
+        image: 0,
         image_gb: 1.0,
         quota: 1000,
         avoid: HashSet::new(),
@@ -52,7 +57,7 @@
 }
 
 fn show(jobs: &[JobView], machines: &[MachineView]) -> String {
-    let out = map(jobs, machines, 2, 1000);
+    let out = place(jobs, &mut machines.to_vec(), 2, 1000);
     let mut text = String::new();
     for s in &out.starts {
         text.push_str(&format!(
@@ -60,6 +65,7 @@
             jobs[s.job].id, s.task, machines[s.machine].name
         ));
     }
+    let out = forecast(jobs, machines, 2);
     for (job, mapped) in jobs.iter().zip(&out.mapped) {
         text.push_str(&format!(
             "{}: {} of {} late\n",
@@ -109,7 +115,7 @@
     gang.gang = true;
     gang.one_zone = true;
     let mut other = machine("b1", 0.0, 4.0);
-    other.zone = "b".into();
+    other.zone = 1;
     let apart = vec![machine("a1", 0.0, 4.0), other.clone()];
     let waits = show(&[gang.clone()], &apart);
     let close = vec![machine("a1", 0.0, 4.0), other, machine("a2", 0.0, 4.0)];
@@ -126,7 +132,7 @@
     picky.most_in_zone = 2;
     picky.avoid.insert("sick".into());
     let mut far = machine("far", 0.0, 8.0);
-    far.zone = "b".into();
+    far.zone = 1;
     let machines = vec![
         spot,
         machine("sick", 0.0, 8.0),
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -9,14 +9,18 @@
 /// What a controller publishes each period for a kind of machine; the leader sums them.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Outlook {
-    /// Late now: finished late since the last event, and waiting past their time.
-    pub late_now: u32,
-    pub counted_now: u32,
+    /// Late now: finished late since the last event, and waiting past their time. The paper's
+    /// tasks are alike; ours count by the part of a machine that each fills, or else a few gangs
+    /// that wait for whole machines would be lost among thousands of small tasks.
+    pub late_now: f64,
+    pub counted_now: f64,
     /// Expected late among those mapped to the next event.
-    pub late_next: u32,
-    pub counted_next: u32,
-    /// Tasks on machines.
-    pub running: u32,
+    pub late_next: f64,
+    pub counted_next: f64,
+    /// On machines.
+    pub running: f64,
+    /// Tasks that wait.
+    pub waiting: u32,
     /// The startup queue's length.
     pub startup: u32,
     /// Machines not up yet.
@@ -45,6 +49,7 @@
         self.late_next += other.late_next;
         self.counted_next += other.counted_next;
         self.running += other.running;
+        self.waiting += other.waiting;
         self.startup += other.startup;
         self.booting += other.booting;
         self.wanted += other.wanted;
@@ -55,20 +60,24 @@
     }
 
     pub fn rate_now(&self) -> f64 {
-        f64::from(self.late_now) / f64::from(self.counted_now.max(1))
+        rate(self.late_now, self.counted_now)
     }
 
     /// The predicted rate among all tasks, those on machines included: one late task must not
     /// keep a fleet that has no use for it.
     pub fn rate_of_all(&self) -> f64 {
-        f64::from(self.late_next) / f64::from((self.counted_next + self.running).max(1))
+        rate(self.late_next, self.counted_next + self.running)
     }
 
     pub fn rate_next(&self) -> f64 {
-        f64::from(self.late_next) / f64::from(self.counted_next.max(1))
+        rate(self.late_next, self.counted_next)
     }
 }
 
+fn rate(late: f64, counted: f64) -> f64 {
+    if counted > 0.0 { late / counted } else { 0.0 }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
     Rent(u32),
@@ -118,12 +127,12 @@
 mod tests {
     use super::*;
 
-    fn outlook(now: (u32, u32), next: (u32, u32)) -> Outlook {
+    fn outlook(now: (i32, i32), next: (i32, i32)) -> Outlook {
         Outlook {
-            late_now: now.0,
-            counted_now: now.1,
-            late_next: next.0,
-            counted_next: next.1,
+            late_now: now.0.into(),
+            counted_now: now.1.into(),
+            late_next: next.0.into(),
+            counted_next: next.1.into(),
             ..Outlook::default()
         }
     }
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -2,15 +2,15 @@
 //! the cloud's list tells.
 
 use super::{Held, Outlook, OutlookRecord, Verdict, periodic, remedial, to_return};
-use crate::cloud::{CloudError, MOST_RELEASED, Rental};
+use crate::cloud::{self, CloudError, MOST_RELEASED};
+use crate::fleet::{Machine, Rental, Rented, Use, most_hired};
 use crate::membership;
-use crate::membership::shares::Member;
+use crate::membership::shares::{Member, targets};
 use crate::node::{Core, Node, age_s, wall_ms};
+use crate::placement::forecast::{Forecast, forecast};
 use crate::placement::views::{Views, kinds_for, room_of};
-use crate::placement::{Mapping, map};
 use crate::policy::KindFacts;
-use crate::state::replica::{HireRecord, MachineRecord};
-use crate::state::{Guard, LEADER_KEY, Op, hire_key, machine_key, outlook_key};
+use crate::state::{Guard, LEADER_KEY, Op, outlook_key, rental_key};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -28,7 +28,9 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Tally {
     pub finished: u32,
-    pub finished_late: u32,
+    /// By the part of a machine that each filled.
+    pub counted: f64,
+    pub late: f64,
 }
 
 /// Smoothed arrivals and finishes per period over the whole fleet, and the arrivals as they were
@@ -93,7 +95,8 @@
     if !due && !startup_grew(core, views, startup_count, now) {
         return;
     }
-    let mapping = map(&views.jobs, &views.machines, startup_count, usize::MAX);
+    let mapping = forecast(&views.jobs, &views.machines, startup_count);
+    core.counts.steps += mapping.steps;
     let mut record = OutlookRecord {
         at_ms: now_ms,
         kinds: outlooks(node, core, views, &mapping),
@@ -142,29 +145,24 @@
     node: &Node,
     core: &Core,
     views: &Views,
-    mapping: &Mapping,
+    mapping: &Forecast,
 ) -> BTreeMap<String, Outlook> {
     let mut pools: BTreeMap<String, Outlook> = BTreeMap::new();
     let queues = startup_queues(views, node.policy.startup_count);
     for kind in &core.kinds {
         let tally = core.rent.tally.get(&kind.name).copied().unwrap_or_default();
         let outlook = Outlook {
-            late_now: tally.finished_late,
-            counted_now: tally.finished,
+            late_now: tally.late,
+            counted_now: tally.counted,
             finished: tally.finished,
             startup: queues.get(&kind.name).copied().unwrap_or(0),
             ..Outlook::default()
         };
         pools.insert(kind.name.clone(), outlook);
     }
-    for (id, job) in &core.replica.jobs {
-        if job.placed > 0
-            && core.owns_job(&node.me, id)
-            && let Some(name) = kinds_for(core, &job.record.spec).into_iter().next()
-        {
-            let pool = pools.entry(name).or_default();
-            pool.running += job.placed;
-        }
+    for progress in core.views.jobs.values().filter(|p| p.placed > 0) {
+        let pool = pools.entry(progress.pool.clone()).or_default();
+        pool.running += f64::from(progress.placed) * progress.share;
     }
     for (index, job) in views.jobs.iter().enumerate() {
         let name = &views.pools[index];
@@ -174,14 +172,16 @@
         let pool = pools.entry(name.clone()).or_default();
         let mapped = mapping.mapped[index];
         let waiting = job.waiting.len() as u32;
-        pool.counted_now += waiting;
+        let share = job.need.share(&room_of(kind));
+        pool.waiting += waiting;
+        pool.counted_now += f64::from(waiting) * share;
         if job.due < 0.0 {
-            pool.late_now += waiting;
+            pool.late_now += f64::from(waiting) * share;
         }
-        pool.counted_next += mapped.tasks;
-        pool.late_next += mapped.late;
+        pool.counted_next += f64::from(mapped.tasks) * share;
+        pool.late_next += f64::from(mapped.late) * share;
         let turns = turns(job.due, job.duration, kind.boot_s);
-        let machines = job.need.share(&room_of(kind)) * f64::from(mapped.late) / turns;
+        let machines = share * f64::from(mapped.helped) / turns;
         pool.wanted += machines;
         if job.spot {
             pool.wanted_spot += machines;
@@ -232,18 +232,17 @@
         match verdict {
             Verdict::Rent(n) => {
                 // Booting machines took part in the mapping: what is late is late despite them.
-                let count = n.min(outlook.wanted.ceil().max(1.0) as u32);
-                wish(core, &kind, &outlook, count);
+                let count = n.min(outlook.wanted.ceil() as u32);
+                if count > 0 {
+                    wish(core, &kind, &outlook, count);
+                }
             }
             Verdict::Return => {
-                let all = core.replica.machines.values();
-                let up = all.filter(|m| m.record.kind == kind).count();
+                let fleet = &core.replica.fleet.machines;
+                let up = fleet.values().filter(|m| m.kind == kind).count();
                 let may = |held: &&Held| {
-                    let kept = core.replica.machines.get(&held.name);
-                    kept.is_some_and(|k| {
-                        node.policy
-                            .may_return(&facts, &k.record.zone, k.record.spot)
-                    })
+                    let machine = fleet.get(&held.name);
+                    machine.is_some_and(|m| node.policy.may_return(&facts, &m.zone, m.spot))
                 };
                 let free: Vec<Held> = outlook.held.iter().filter(may).cloned().collect();
                 for machine in to_return(&free, up) {
@@ -293,7 +292,7 @@
         price: known.price,
         arrived: f64::from(outlook.arrived),
         usual: flow.usual,
-        waiting: f64::from(outlook.counted_next),
+        waiting: f64::from(outlook.waiting),
     })
 }
 
@@ -302,7 +301,7 @@
     let period_s = node.policy.period_s;
     let jobs = core.replica.jobs.values();
     jobs.map(|job| &job.record)
-        .filter(|r| core.replica.owner_of_team(&r.spec.team) == Some(&node.me))
+        .filter(|r| core.replica.owner_of(r) == Some(&node.me))
         .filter(|r| !r.cancelled && age_s(r.accepted_ms, now_ms) < period_s)
         .filter(|r| kinds_for(core, &r.spec).first().is_some_and(|k| k == kind))
         .map(|r| r.spec.tasks)
@@ -341,10 +340,10 @@
 
 /// Own machines of a kind that are not up yet.
 fn booting(core: &Core, me: &Member, kind: &str) -> u32 {
-    let machines = core.replica.machines.iter();
+    let machines = core.replica.fleet.machines.iter();
     machines
         .filter(|(name, m)| {
-            m.record.kind == kind && m.record.owner == *me && !core.live.contains_key(*name)
+            m.kind == kind && m.owner == *me && !core.workers.live.contains_key(*name)
         })
         .count() as u32
 }
@@ -364,35 +363,41 @@
 
 /// Own machines past their hold that are idle and that nothing was mapped to. By the second
 /// nothing is paid ahead, so that the hold begins anew with each use.
-fn held(node: &Node, core: &Core, kind: &str, mapping: &Mapping, now_ms: u64) -> Vec<Held> {
+fn held(node: &Node, core: &Core, kind: &str, mapping: &Forecast, now_ms: u64) -> Vec<Held> {
     let fleet = summed(node, core, now_ms).remove(kind).unwrap_or_default();
     let Some(facts) = facts(core, kind, &fleet) else {
         return Vec::new();
     };
-    let machines = core.replica.machines.iter();
-    machines
+    let machines = core.replica.fleet.machines.iter();
+    let mut held: Vec<Held> = machines
         .filter(|(name, m)| {
-            m.record.kind == kind
-                && m.record.owner == node.me
-                && !m.record.returning
+            m.kind == kind
+                && m.owner == node.me
+                && m.state == Use::Open
                 && !core.rent.closing.contains_key(*name)
                 && !core.serves_its_purpose(name, kind)
-                && !mapping.used.contains(*name)
+                && !mapping.used.contains(name.as_str())
         })
         .filter_map(|(name, m)| {
-            let unused = core.live.get(name)?.used_at.elapsed().as_secs_f64();
-            let age = age_s(m.record.hired_ms, now_ms);
+            let unused = core.workers.live.get(name)?.used_at.elapsed().as_secs_f64();
+            let age = age_s(m.hired_ms, now_ms);
             Some(Held {
                 name: name.clone(),
-                remaining_hold_s: node.policy.hold_s(&facts, &m.record.zone, m.record.spot)
-                    - unused.min(age),
+                remaining_hold_s: node.policy.hold_s(&facts, &m.zone, m.spot) - unused.min(age),
             })
         })
         .filter(|h| h.remaining_hold_s <= 0.0)
-        .take(12)
-        .collect()
+        .collect();
+    // The record must fit its value; the rest goes with the next event.
+    held.sort_by(|a, b| a.remaining_hold_s.total_cmp(&b.remaining_hold_s));
+    let room = node.settings.value_bytes() / (core.kinds.len().max(1) * 160);
+    held.truncate(room.clamp(1, MOST_HELD));
+    held
 }
 
+/// Most machines that one outlook offers to give back, per kind.
+const MOST_HELD: usize = 30;
+
 /// Publishes what is to be published; the leader then has its event.
 async fn publish(node: &Arc<Node>) {
     let Some(record) = node.core().rent.outlook.take() else {
@@ -443,8 +448,14 @@
     let mut core = node.core();
     if core.rent.leader_event.is_none_or(|at| at <= now) {
         let period = Duration::from_secs_f64(node.policy.period_s);
-        core.rent.leader_event = Some(now + period);
-        event(node, &mut core, now_ms);
+        // Before anything was submitted there is nothing to decide on: the first event comes with
+        // the first outlooks, not a period after.
+        let sums = summed(node, &core, now_ms);
+        let any = |o: &Outlook| o.counted_next + o.counted_now + o.running > 0.0;
+        if sums.values().any(any) || !core.replica.fleet.machines.is_empty() {
+            core.rent.leader_event = Some(now + period);
+            event(node, &mut core, now_ms);
+        }
     }
     remedy(node, &mut core, now, now_ms);
 }
@@ -462,22 +473,41 @@
     for wish in wishes {
         let mut left = wish.count;
         let mut spot_left = wish.spot;
-        for (zone, spot) in offers(node, &wish) {
+        let most = most_hired(node.settings.value_bytes()) as u32;
+        let offers = offers(node, &wish);
+        let mut zones_left = 0;
+        for (at, (zone, spot)) in offers.iter().cloned().enumerate() {
+            if at == 0 || offers[at - 1].1 != spot {
+                zones_left = offers[at..].iter().filter(|o| o.1 == spot).count();
+            }
             let count = if spot { left.min(spot_left) } else { left };
             if count == 0 {
                 continue;
             }
-            let record = HireRecord {
-                kind: wish.kind.clone(),
-                zone,
-                spot,
-                count: count.min(20),
-                at_ms: wall_ms(),
-            };
-            let got = hire(node, mark, record).await;
-            left -= got.min(left);
-            if spot {
-                spot_left -= got.min(spot_left);
+            // The zones share what is wished for, and what one of them lacks the next ones give.
+            let zones = zones_left.max(1);
+            zones_left = zones_left.saturating_sub(1);
+            let mut count = count.div_ceil(zones as u32);
+            while count > 0 {
+                let record = Rental {
+                    kind: wish.kind.clone(),
+                    zone: zone.clone(),
+                    spot,
+                    count: count.min(most),
+                    hired_ms: wall_ms(),
+                    open: true,
+                    machines: Vec::new(),
+                };
+                let asked = record.count;
+                let got = hire(node, mark, record).await;
+                left -= got.min(left);
+                if spot {
+                    spot_left -= got.min(spot_left);
+                }
+                count -= asked;
+                if got < asked {
+                    break;
+                }
             }
         }
         if left > 0 {
@@ -493,8 +523,10 @@
     };
     let now = Instant::now();
     let count_in = |zone: &str| {
-        let machines = core.replica.machines.values();
-        machines.filter(|m| m.record.zone == zone).count()
+        let machines = core.replica.fleet.machines.values();
+        machines
+            .filter(|m| m.zone == zone && m.kind == wish.kind)
+            .count()
     };
     let mut offers: Vec<(String, bool)> = Vec::new();
     for spot in [true, false] {
@@ -514,17 +546,24 @@
 }
 
 /// Records a name, rents under it, and records the machines. Returns how many came.
-async fn hire(node: &Arc<Node>, mark: u64, record: HireRecord) -> u32 {
+async fn hire(node: &Arc<Node>, mark: u64, record: Rental) -> u32 {
     // The leader key's mark is never given twice, so neither is this name.
     let name = {
         let mut core = node.core();
         core.rent.rented_in_all += 1;
         format!("r-{mark}-{}", core.rent.rented_in_all)
     };
-    let put = Op::set(hire_key(&name), &record);
+    let put = Op::set(rental_key(&name), &record);
+    let guards = [
+        guard(mark),
+        Guard {
+            k: rental_key(&name),
+            mark: 0,
+        },
+    ];
     match node
         .state
-        .transact(&[guard(mark)], std::slice::from_ref(&put))
+        .transact(&guards, std::slice::from_ref(&put))
         .await
     {
         Ok(ledger) => {
@@ -537,8 +576,8 @@
 
 /// Sends a recorded rental, for the first time or again: a repeat of one that was carried out
 /// rents nothing and names the same machines.
-async fn send_hire(node: &Arc<Node>, mark: u64, name: &str, record: &HireRecord) -> u32 {
-    let rental = Rental {
+async fn send_hire(node: &Arc<Node>, mark: u64, name: &str, record: &Rental) -> u32 {
+    let rental = cloud::Rental {
         name,
         kind: &record.kind,
         zone: &record.zone,
@@ -563,51 +602,106 @@
         got = names.len(),
         "rented"
     );
-    if (names.len() as u32) < record.count {
-        let key = (record.kind.clone(), record.zone.clone(), record.spot);
-        let until = Instant::now() + Duration::from_secs(20);
-        node.core().rent.refused.insert(key, until);
-    }
-    let machine = MachineRecord {
-        owner: node.me.clone(),
-        addr: String::new(),
-        kind: record.kind.clone(),
-        zone: record.zone.clone(),
-        spot: record.spot,
-        hired_ms: record.at_ms,
-        returning: false,
-        closing: false,
+    let got = names.len() as u32;
+    let (op, mark_before) = {
+        let mut core = node.core();
+        if got < record.count {
+            let key = (record.kind.clone(), record.zone.clone(), record.spot);
+            let until = Instant::now() + Duration::from_secs(20);
+            core.rent.refused.insert(key, until);
+        }
+        let owners = first_owners(node, &core, &record.kind, &record.zone, names.len());
+        let machines = names.into_iter().zip(owners);
+        // A token starts at the leader's mark, and rises from there with each change of owner.
+        let machines: Vec<Rented> = machines
+            .map(|(name, owner)| Rented {
+                name,
+                owner,
+                token: mark,
+                state: Use::Open,
+            })
+            .collect();
+        let filled = Rental {
+            open: false,
+            machines,
+            ..record.clone()
+        };
+        let op = match filled.machines.is_empty() {
+            true => Op::drop(rental_key(name)),
+            false => Op::set(rental_key(name), &filled),
+        };
+        let kept = core.replica.fleet.rentals.get(name);
+        (op, kept.map_or(0, |k| k.mark))
     };
-    let mut guards = vec![guard(mark)];
-    let mut ops = vec![Op::drop(hire_key(name))];
-    for name in &names {
-        let known = node.core().replica.machines.contains_key(name);
-        if !known {
-            guards.push(Guard {
-                k: machine_key(name),
-                mark: 0,
-            });
-            ops.push(Op::set(machine_key(name), &machine));
+    let guards = [
+        guard(mark),
+        Guard {
+            k: rental_key(name),
+            mark: mark_before,
+        },
+    ];
+    if let Ok(ledger) = node
+        .state
+        .transact(&guards, std::slice::from_ref(&op))
+        .await
+    {
+        node.core().apply(vec![op], ledger);
+        node.stirred.notify_one();
+    }
+    got
+}
+
+/// Who gets new machines: those whose work lacks most, so that few change hands while they boot.
+fn first_owners(node: &Node, core: &Core, kind: &str, zone: &str, count: usize) -> Vec<Member> {
+    let present = core.replica.present();
+    let Some(shares) = core.replica.shares.as_ref() else {
+        return vec![node.me.clone(); count];
+    };
+    let fleet = &core.replica.fleet.machines;
+    let of_kind = || fleet.values().filter(|m| m.kind == kind);
+    let (demand, ..) = membership::demand(node, core, &shares.record);
+    let total = of_kind().count() + count;
+    let targets = targets(&present, kind, &demand, total as f64);
+    let mut have: BTreeMap<&Member, (f64, u32)> = present.iter().map(|m| (m, (0.0, 0))).collect();
+    for machine in of_kind() {
+        if let Some(have) = have.get_mut(&machine.owner) {
+            have.0 += 1.0;
+            have.1 += u32::from(machine.zone == zone);
         }
     }
-    if let Ok(ledger) = node.state.transact(&guards, &ops).await {
-        node.core().apply(ops, ledger);
+    let mut owners = Vec::with_capacity(count);
+    for _ in 0..count {
+        let lack = |m: &Member, have: f64| targets.get(m).copied().unwrap_or(0.0) - have;
+        // Nearly equal lacks: whoever has most of the zone keeps it whole.
+        let neediest = have.iter().max_by(|a, b| {
+            let (la, lb) = (lack(a.0, a.1.0), lack(b.0, b.1.0));
+            let class = |lack: f64| (lack / 16.0).floor();
+            let by_lack = class(la).total_cmp(&class(lb));
+            by_lack.then(a.1.1.cmp(&b.1.1)).then(la.total_cmp(&lb))
+        });
+        let Some(member) = neediest.map(|(m, _)| (*m).clone()) else {
+            owners.push(node.me.clone());
+            continue;
+        };
+        let entry = have.get_mut(&member).expect("present");
+        entry.0 += 1.0;
+        entry.1 += 1;
+        owners.push(member);
     }
-    names.len() as u32
+    owners
 }
 
 /// Rentals whose answer never came, or whose renter ended, are sent again under their name.
 async fn resend_hires(node: &Arc<Node>, mark: u64) {
     let now_ms = wall_ms();
-    let open: Vec<(String, HireRecord)> = {
+    let open: Vec<(String, Rental)> = {
         let core = node.core();
-        let hires = core.replica.hires.iter();
-        hires
-            .filter(|(_, h)| age_s(h.record.at_ms, now_ms) > 4.0)
-            .map(|(name, h)| (name.clone(), h.record.clone()))
+        let open = core.replica.fleet.open();
+        open.filter(|(_, r)| age_s(r.hired_ms, now_ms) > 4.0)
+            .map(|(name, r)| (name.clone(), r.clone()))
             .collect()
     };
-    for (name, record) in open.into_iter().take(2) {
+    for (name, record) in open.into_iter().take(4) {
         send_hire(node, mark, &name, &record).await;
     }
 }
@@ -616,6 +710,9 @@
 /// answered: only then is everything on them provably gone.
 async fn close_machines(node: &Arc<Node>) {
     let names = to_close(node);
+    if names.is_empty() {
+        return;
+    }
     let names = record_closing(node, names).await;
     if names.is_empty() {
         return;
@@ -624,95 +721,104 @@
         tracing::info!(%error, "a release is open");
         return;
     }
-    let mut guards = Vec::new();
-    let mut ops = Vec::new();
-    for name in &names {
-        let core = node.core();
-        if let Some(kept) = core.replica.machines.get(name) {
-            guards.push(Guard {
-                k: machine_key(name),
-                mark: kept.mark,
-            });
-            ops.push(Op::drop(machine_key(name)));
+    let mut left = names;
+    while !left.is_empty() {
+        let now = write_fleet(node, &left, |_| false).await;
+        if now.is_empty() {
+            return; // another turn finds them closing still, and releases them again
         }
-    }
-    if let Ok(ledger) = node.state.transact(&guards, &ops).await {
+        tracing::info!(names = ?now, "released");
+        left.retain(|name| !now.contains(name));
         let mut core = node.core();
-        for name in &names {
-            core.replica.remove(&machine_key(name), ledger);
+        for name in &now {
             core.rent.closing.remove(name);
-            core.live.remove(name);
+            core.workers.live.remove(name);
         }
-        tracing::info!(?names, "released");
-        drop(core);
-        node.stirred.notify_one();
-    } else {
-        node.sync().await;
     }
+    node.stirred.notify_one();
 }
 
-/// Records each release before it is sent, guarded by the machine's key: a node that was cut off
-/// from the state service hears its machines no longer, because they are another's by now, and
-/// must not release them.
-async fn record_closing(node: &Arc<Node>, names: Vec<String>) -> Vec<String> {
-    let mut recorded = Vec::new();
-    let (mut guards, mut ops, mut new) = (Vec::new(), Vec::new(), Vec::new());
-    for name in names {
-        let Some(kept) = node.core().replica.machines.get(&name).cloned() else {
-            continue;
-        };
-        if kept.record.closing {
-            recorded.push(name);
-            continue;
+/// Changes machines in their rentals' records, as many as fit one transaction; returns those whose
+/// change is recorded. `change` returns false for a machine that leaves the record.
+async fn write_fleet(
+    node: &Arc<Node>,
+    names: &[String],
+    change: impl FnMut(&mut Rented) -> bool,
+) -> Vec<String> {
+    let most = node.settings.params.state.txn_ops;
+    let (mut guards, mut ops, mut rentals) = (Vec::new(), Vec::new(), Vec::new());
+    let written: Vec<String> = {
+        let core = node.core();
+        let fleet = &core.replica.fleet;
+        let changed = fleet.changed_by(names.iter().map(String::as_str), change);
+        let mut bytes = 0;
+        for (name, kept) in changed.into_iter().take(most) {
+            let op = match kept.record.machines.is_empty() {
+                true => Op::drop(rental_key(&name)),
+                false => Op::set(rental_key(&name), &kept.record),
+            };
+            bytes += op.bytes();
+            if bytes > crate::state::MOST_BYTES {
+                break;
+            }
+            guards.push(Guard {
+                k: rental_key(&name),
+                mark: kept.mark,
+            });
+            ops.push(op);
+            rentals.push(name);
         }
-        let record = MachineRecord {
-            returning: true,
-            closing: true,
-            ..kept.record
+        let is_in = |name: &&String| {
+            let machine: Option<&Machine> = fleet.machines.get(*name);
+            machine.is_some_and(|m| rentals.contains(&m.rental))
         };
-        guards.push(Guard {
-            k: machine_key(&name),
-            mark: kept.mark,
-        });
-        ops.push(Op::set(machine_key(&name), &record));
-        new.push(name);
-    }
+        names.iter().filter(is_in).cloned().collect()
+    };
     if ops.is_empty() {
-        return recorded;
+        return Vec::new();
     }
     match node.state.transact(&guards, &ops).await {
         Ok(ledger) => {
             node.core().apply(ops, ledger);
-            recorded.extend(new);
+            written
         }
         Err(_) => {
             node.sync().await;
+            Vec::new()
         }
     }
+}
+
+/// Records each release before it is sent, guarded by the machine's rental: a node that was cut off
+/// from the state service hears its machines no longer, because they are another's by now, and
+/// must not release them.
+async fn record_closing(node: &Arc<Node>, names: Vec<String>) -> Vec<String> {
+    let (mut recorded, new): (Vec<String>, Vec<String>) = {
+        let core = node.core();
+        let fleet = &core.replica.fleet.machines;
+        let known = names.into_iter().filter(|n| fleet.contains_key(n));
+        known.partition(|n| fleet[n].state == Use::Closing)
+    };
+    if !new.is_empty() {
+        let close = |machine: &mut Rented| {
+            machine.state = Use::Closing;
+            true
+        };
+        recorded.extend(write_fleet(node, &new, close).await);
+    }
     recorded
 }
 
 async fn mark_returning(node: &Arc<Node>, mark: u64) {
     let names = std::mem::take(&mut node.core().rent.to_return);
-    for name in names {
-        let Some(kept) = node.core().replica.machines.get(&name).cloned() else {
-            continue;
-        };
-        let mut record = kept.record;
-        record.returning = true;
-        let guards = [
-            guard(mark),
-            Guard {
-                k: machine_key(&name),
-                mark: kept.mark,
-            },
-        ];
-        let put = Op::set(machine_key(&name), &record);
-        let outcome = node.state.transact(&guards, std::slice::from_ref(&put));
-        if let Ok(ledger) = outcome.await {
-            node.core().apply(vec![put], ledger);
-        }
+    if names.is_empty() || membership::lead_mark(node) != Some(mark) {
+        return;
     }
+    let give_back = |machine: &mut Rented| {
+        machine.state = machine.state.max(Use::Returning);
+        true
+    };
+    write_fleet(node, &names, give_back).await;
 }
 
 /// How long a node that cannot hear its workers leaves them to others.
@@ -726,7 +832,7 @@
         return Vec::new();
     }
     let mut core = node.core();
-    if core.stand_back_until.is_some() {
+    if core.standing.stand_back_until.is_some() {
         return Vec::new();
     }
     let core = &mut *core;
@@ -737,20 +843,16 @@
     // take them over before their workers' leases are out.
     let unheard_for = node.settings.lease().mul_f64(0.4).max(report * 2);
     let (mut silent, mut heard) = (0, 0);
-    for (name, kept) in &core.replica.machines {
-        let record = &kept.record;
-        let Some((since, _)) = core.owned.get(name) else {
+    for (name, (since, _)) in &core.workers.owned {
+        let Some(record) = core.replica.fleet.machines.get(name) else {
             continue;
         };
-        let empty = !core.replica.on.contains_key(name)
-            && !core.overlay.values().flat_map(|c| c.values()).any(
-                |e| matches!(e, crate::jobs::Entry::Placed { machine, .. } if machine == name),
-            );
-        if record.closing {
+        let empty = !core.replica.on.contains_key(name) && core.plans.on(name).next().is_none();
+        if record.state == Use::Closing {
             close.push((name.clone(), "decided before"));
             continue;
         }
-        match core.live.get(name) {
+        match core.workers.live.get(name) {
             Some(live) => {
                 let quiet = now.saturating_duration_since(live.heard);
                 match quiet > unheard_for {
@@ -764,13 +866,20 @@
                     close.push((name.clone(), "taken by the cloud"));
                 } else if quiet > silence {
                     close.push((name.clone(), "silent"));
+                } else if live
+                    .deaf
+                    .is_some_and(|at| now.saturating_duration_since(at) > silence)
+                    && (live.lapses != 1 || !live.unseen.is_empty())
+                {
+                    // What ran on it has ended with its lease, which our answers do not renew.
+                    close.push((name.clone(), "does not follow"));
                 } else {
                     let idle = live
                         .report
                         .tasks
                         .iter()
                         .all(|t| t.state == crate::workers::TaskState::Ended);
-                    if record.returning && empty && idle {
+                    if record.state == Use::Returning && empty && idle {
                         close.push((name.clone(), "returned"));
                     }
                 }
@@ -789,16 +898,17 @@
         }
     }
     let others = core.replica.presence.len() > 1;
-    if others && silent >= 3 && silent > heard && core.stand_back_until.is_none() {
+    if others && silent >= 3 && silent > heard && core.standing.stand_back_until.is_none() {
         // Most machines fell silent at once: more likely this node cannot hear them. Others may;
         // releasing them all would throw their work away.
         tracing::info!(silent, heard, "cannot hear most machines: standing back");
-        core.stand_back_until = Some(now + STAND_BACK);
+        core.standing.stand_back_until = Some(now + STAND_BACK);
         return Vec::new();
     }
-    close.truncate(MOST_RELEASED.min(node.settings.params.state.txn_ops));
+    close.truncate(MOST_RELEASED);
     for (name, why) in &close {
         if core.rent.closing.insert(name.clone(), why).is_none() {
+            core.plans.touch_machine(name);
             tracing::info!(machine = name, why, "releasing");
         }
     }
@@ -810,66 +920,70 @@
     let Ok(list) = node.cloud.list().await else {
         return;
     };
+    // The list lags: a machine just released also looks unknown. This process remembers its
+    // releases; those before its time are out of the list after twice the lag.
+    let lag = Duration::from_secs_f64(node.settings.params.cloud.list_lag_s * 2.0 + 5.0);
+    let settled = {
+        let core = node.core();
+        let leading = core.standing.leading;
+        leading.is_some_and(|(_, since)| since.elapsed() > lag)
+            && core.replica.fleet.open().next().is_none()
+    };
     for listed in list {
-        let (known, failed_live) = {
-            let core = node.core();
-            (
-                core.replica.machines.contains_key(&listed.name),
-                core.replica.machines.contains_key(&listed.name) && listed.stage == "failed",
-            )
-        };
-        if failed_live {
-            // It stopped by itself: nothing on it can come back, and releasing it proves that.
+        {
             let mut core = node.core();
-            if let Some(live) = core.live.get_mut(&listed.name) {
-                live.taken_at = Some(Instant::now() - Duration::from_secs(1));
+            let core = &mut *core;
+            if core.replica.fleet.machines.contains_key(&listed.name) {
+                if listed.stage == "failed"
+                    && let Some(live) = core.workers.live.get_mut(&listed.name)
+                {
+                    // It stopped by itself: nothing on it can come back, and releasing it
+                    // proves that.
+                    live.taken_at = Some(Instant::now() - Duration::from_secs(1));
+                    core.plans.touch_machine(&listed.name);
+                }
+                continue;
+            }
+            if core.replica.fleet.is_gone(&listed.name) || listed.stage == "failed" || !settled {
+                continue;
             }
-            continue;
-        }
-        // The list lags: a machine just released, or just being recorded, also looks unknown.
-        let lag = node.settings.params.cloud.list_lag_s * 2.0 + 5.0;
-        let recent = !node.core().replica.hires.is_empty() && listed.age_s < lag * 2.0;
-        if known || recent || released_lately(node, &listed.name) || listed.stage == "failed" {
-            continue;
         }
-        let record = MachineRecord {
+        adopt(node, mark, listed).await;
+    }
+}
+
+/// Records a machine that exists and is in no record: a rental of one, under its own name, so
+/// that it cannot be recorded twice.
+async fn adopt(node: &Arc<Node>, mark: u64, listed: cloud::Listed) {
+    let key = rental_key(&format!("a-{}", listed.name));
+    let record = Rental {
+        kind: listed.kind,
+        zone: listed.zone,
+        spot: listed.spot,
+        count: 1,
+        hired_ms: wall_ms().saturating_sub((listed.age_s * 1000.0) as u64),
+        open: false,
+        machines: vec![Rented {
+            name: listed.name.clone(),
             owner: node.me.clone(),
-            addr: listed.addr,
-            kind: listed.kind,
-            zone: listed.zone,
-            spot: listed.spot,
-            hired_ms: wall_ms().saturating_sub((listed.age_s * 1000.0) as u64),
-            returning: false,
-            closing: false,
-        };
-        adopt(node, mark, &listed.name, record).await;
-    }
-}
-
-fn released_lately(node: &Node, name: &str) -> bool {
-    node.core().replica.released(name)
-}
-
-/// Records a machine that exists and is in no record.
-pub async fn adopt(node: &Arc<Node>, mark: u64, name: &str, record: MachineRecord) -> bool {
+            token: mark,
+            state: Use::Open,
+        }],
+    };
     let guards = [
         guard(mark),
         Guard {
-            k: machine_key(name),
+            k: key.clone(),
             mark: 0,
         },
     ];
-    let put = Op::set(machine_key(name), &record);
-    match node
+    let put = Op::set(key, &record);
+    if let Ok(ledger) = node
         .state
         .transact(&guards, std::slice::from_ref(&put))
         .await
     {
-        Ok(ledger) => {
-            node.core().apply(vec![put], ledger);
-            tracing::info!(machine = name, "adopted");
-            true
-        }
-        Err(_) => false,
+        node.core().apply(vec![put], ledger);
+        tracing::info!(machine = listed.name, "adopted");
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -113,7 +113,37 @@
     pub sockets: usize,
 }
 
+impl Team {
+    /// Whether there is a limit on what its tasks use at a time.
+    pub fn is_limited(&self) -> bool {
+        self.cpus_max > 0.0 || self.gpus_max > 0.0
+    }
+
+    pub fn has_guarantee(&self) -> bool {
+        self.cpus > 0.0 || self.gpus > 0.0
+    }
+}
+
+/// One node's part of the state service's limits.
+#[derive(Debug, Clone, Copy)]
+pub struct StateShare {
+    pub requests: f64,
+    pub writes: f64,
+}
+
 impl Settings {
+    pub fn state_share(&self) -> StateShare {
+        let nodes = f64::from(self.params.size);
+        StateShare {
+            requests: self.params.state.rps / nodes,
+            writes: self.params.state.write_rps / nodes,
+        }
+    }
+
+    pub fn value_bytes(&self) -> usize {
+        (self.params.state.value_kb * 1024.0) as usize
+    }
+
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let shown = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
@@ -222,6 +252,6 @@
     /// Tasks on one progress page, so that the page fits a value of the state service.
     pub fn page_len(&self) -> usize {
         // A placed task is written as [attempt,"machine",session]: 48 bytes cover long names.
-        ((self.params.state.value_kb * 1024.0 / 48.0) as usize).clamp(8, 512)
+        (self.value_bytes() / 48).clamp(8, 512)
     }
 }
--- a/src/state/client.rs
+++ b/src/state/client.rs
@@ -2,26 +2,30 @@
 
 use super::budget::{Budget, Need};
 use crate::http::{CallError, Client};
+use crate::settings::StateShare;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub struct Guard {
     pub k: String,
     pub mark: u64,
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, Serialize)]
 #[serde(untagged)]
 pub enum Op {
     Set {
         set: String,
-        data: Value,
+        /// Written once, and sent as it is.
+        data: Box<RawValue>,
         #[serde(rename = "tenancy", skip_serializing_if = "Option::is_none")]
         lease: Option<u64>,
     },
@@ -32,7 +36,7 @@
 
 impl Op {
     pub fn set(key: String, value: &impl Serialize) -> Self {
-        let data = serde_json::to_value(value).expect("our records are plain data");
+        let data = serde_json::value::to_raw_value(value).expect("our records are plain data");
         Op::Set {
             set: key,
             data,
@@ -43,6 +47,14 @@
     pub fn drop(key: String) -> Self {
         Op::Drop { drop: key }
     }
+
+    /// What it takes of a transaction's body.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Op::Set { set, data, .. } => set.len() + data.get().len() + 60,
+            Op::Drop { drop } => drop.len() + 20,
+        }
+    }
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -53,6 +65,9 @@
     /// Not executed: over the rate limit, in an outage, or never connected.
     #[error("refused")]
     Refused,
+    /// Refused as malformed, now and at each repeat.
+    #[error("malformed")]
+    Malformed,
     /// The lease named in it is over.
     #[error("the lease is over")]
     NoLease,
@@ -66,8 +81,9 @@
 pub struct Change {
     pub set: Option<String>,
     pub drop: Option<String>,
+    /// Read only once it is known whose record it is: most of what nodes follow is pages.
     #[serde(default)]
-    pub data: Value,
+    pub data: Option<Box<RawValue>>,
     pub mark: u64,
 }
 
@@ -81,7 +97,7 @@
 #[derive(Debug, Deserialize)]
 pub struct Pair {
     pub k: String,
-    pub data: Value,
+    pub data: Box<RawValue>,
     pub mark: u64,
 }
 
@@ -119,26 +135,64 @@
 }
 
 const CALL_LIMIT: Duration = Duration::from_millis(1500);
+/// Parts of this node's requests that readings of the log take; changes have the rest.
+const FOLLOW_PART: f64 = 0.25;
+const SYNC_PART: f64 = 0.3;
 
 pub struct StateClient {
     http: Client,
+    share: StateShare,
     writes: Mutex<Budget>,
+    pub used: Used,
+}
+
+/// What this node asked of the state service, counted up.
+#[derive(Debug, Default)]
+pub struct Used {
+    pub requests: AtomicU64,
+    pub puts: AtomicU64,
+    pub guards: AtomicU64,
+    pub refused: AtomicU64,
+    pub followed_bytes: AtomicU64,
+}
+
+fn count(counter: &AtomicU64, by: usize) {
+    counter.fetch_add(by as u64, Ordering::Relaxed);
 }
 
 impl StateClient {
-    pub fn new(addr: SocketAddr, write_rate: f64) -> Self {
+    pub fn new(addr: SocketAddr, share: StateShare) -> Self {
         Self {
             http: Client::new(addr, 6),
-            writes: Mutex::new(Budget::new(write_rate, Instant::now())),
+            writes: Mutex::new(Budget::new(share.writes, Instant::now())),
+            share,
+            used: Used::default(),
         }
     }
 
+    /// The least time between two readings of the log, and between two readings that polls wait
+    /// for: each change of any node would else cost every node a request.
+    pub fn follow_gap(&self) -> Duration {
+        Duration::from_secs_f64(1.0 / (self.share.requests * FOLLOW_PART).max(1.0))
+    }
+
+    pub fn sync_gap(&self) -> Duration {
+        Duration::from_secs_f64(1.0 / (self.share.requests * SYNC_PART).max(1.0))
+    }
+
     /// How many puts and deletes this node may send now.
     pub fn writes_left(&self, need: Need) -> usize {
         let left = self.writes.lock().unwrap().available(need, Instant::now());
         left.max(0.0) as usize
     }
 
+    /// How much of what this node may write at once is left, from 0 to 1.
+    pub fn writes_at_ease(&self) -> f64 {
+        let mut writes = self.writes.lock().unwrap();
+        let left = writes.available(Need::Own, Instant::now());
+        (left / (self.share.writes * 0.8)).clamp(0.0, 1.0)
+    }
+
     async fn call(
         &self,
         method: Method,
@@ -146,7 +200,12 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), CallError> {
-        self.http.call(method, path, body, limit).await
+        count(&self.used.requests, 1);
+        let answer = self.http.call(method, path, body, limit).await;
+        if let Ok((StatusCode::TOO_MANY_REQUESTS, _)) = answer {
+            count(&self.used.refused, 1);
+        }
+        answer
     }
 
     pub async fn transact(&self, guards: &[Guard], then: &[Op]) -> Result<u64, TxnError> {
@@ -160,6 +219,8 @@
             .lock()
             .unwrap()
             .take(then.len() as f64, Instant::now());
+        count(&self.used.puts, then.len());
+        count(&self.used.guards, guards.len());
         let answer = self
             .call(Method::POST, "/multi", body.into(), CALL_LIMIT)
             .await;
@@ -182,7 +243,7 @@
             400 if body_says(&body, "no such lease") => Err(TxnError::NoLease),
             400 => {
                 tracing::error!(answer = %String::from_utf8_lossy(&body), "state refused a transaction as malformed");
-                Err(TxnError::Refused)
+                Err(TxnError::Malformed)
             }
             429 | 503 => Err(TxnError::Refused),
             _ => Err(TxnError::Unknown),
@@ -200,6 +261,7 @@
             .await;
         match answer {
             Ok((StatusCode::OK, body)) => {
+                count(&self.used.followed_bytes, body.len());
                 serde_json::from_slice(&body).map_err(|_| ReadError::Failed)
             }
             Ok((StatusCode::GONE, _)) => Err(ReadError::TooOld),
@@ -214,7 +276,8 @@
             .await;
         match answer {
             Ok((StatusCode::OK, body)) => serde_json::from_slice::<Pair>(&body)
-                .map(|pair| Some(pair.data))
+                .and_then(|pair| serde_json::from_str(pair.data.get()))
+                .map(Some)
                 .map_err(|_| ReadError::Failed),
             Ok((StatusCode::NOT_FOUND, _)) => Ok(None),
             _ => Err(ReadError::Failed),
--- a/src/state/follow.rs
+++ b/src/state/follow.rs
@@ -17,7 +17,9 @@
             continue;
         }
         node.core().loaded = true;
-        while let Ok(()) | Err(ReadError::Failed) = turn(&node, HOLD).await {}
+        while let Ok(()) | Err(ReadError::Failed) = turn(&node, HOLD).await {
+            tokio::time::sleep(node.state.follow_gap()).await;
+        }
         node.core().loaded = false;
         tracing::info!("the log was cut before our place: loading anew");
     }
@@ -36,6 +38,8 @@
         for waiter in waiters {
             let _ = waiter.send(fresh);
         }
+        // Whoever comes meanwhile shares the next read.
+        tokio::time::sleep(node.state.sync_gap()).await;
     }
 }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -8,6 +8,9 @@
 pub use client::{Guard, Op, StateClient, TxnError};
 pub use replica::Replica;
 
+/// Most bytes of a transaction's changes: the service takes 64 KiB in all.
+pub const MOST_BYTES: usize = 44 << 10;
+
 /// Everything that every node follows. Final states lie outside it, so that what the nodes hold
 /// in memory stays bounded as finished jobs pile up.
 pub const LIVE: &str = "r/";
@@ -18,12 +21,9 @@
 pub fn page_key(id: &str, page: usize) -> String {
     format!("r/p/{id}/{page}")
 }
-pub fn machine_key(name: &str) -> String {
+pub fn rental_key(name: &str) -> String {
     format!("r/m/{name}")
 }
-pub fn hire_key(name: &str) -> String {
-    format!("r/h/{name}")
-}
 pub fn presence_key(member: &str) -> String {
     format!("r/n/{member}")
 }
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -2,38 +2,12 @@
 //! that polls are answered and a takeover begins without reading everything anew.
 
 use super::client::{Change, Pair};
+use crate::fleet::Fleet;
 use crate::jobs::{Entry, Final, JobRecord, Page, Stage};
 use crate::membership::shares::{Member, Shares};
 use crate::renting::OutlookRecord;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-
-/// The durable record of a rented machine. The mark of its key is the machine's token.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MachineRecord {
-    pub owner: Member,
-    pub addr: String,
-    pub kind: String,
-    pub zone: String,
-    pub spot: bool,
-    pub hired_ms: u64,
-    /// No more is placed on it; it goes back when empty.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub returning: bool,
-    /// Its release was decided and may be sent at any time.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub closing: bool,
-}
-
-/// A rental's name, recorded before use.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct HireRecord {
-    pub kind: String,
-    pub zone: String,
-    pub spot: bool,
-    pub count: u32,
-    pub at_ms: u64,
-}
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PresenceRecord {
@@ -74,11 +48,13 @@
         }
     }
 
-    fn count(&mut self) {
-        let entries = || self.pages.values().flat_map(|p| p.record.0.iter());
-        self.done = entries().filter(|e| **e == Entry::Done).count() as u32;
+    /// A page came in place of another: only what differs is counted.
+    fn count(&mut self, before: &Page, after: &Page) {
+        let done = |p: &Page| p.0.iter().filter(|e| **e == Entry::Done).count() as u32;
         let placed = |e: &&Entry| matches!(e, Entry::Placed { .. });
-        self.placed = entries().filter(placed).count() as u32;
+        let placed = |p: &Page| p.0.iter().filter(placed).count() as u32;
+        self.done = self.done + done(after) - done(before);
+        self.placed = self.placed + placed(after) - placed(before);
     }
 
     pub fn entry(&self, page_len: usize, task: u32) -> Entry {
@@ -101,8 +77,7 @@
     pub revision: u64,
     pub page_len: usize,
     pub jobs: BTreeMap<String, Job>,
-    pub machines: BTreeMap<String, Kept<MachineRecord>>,
-    pub hires: BTreeMap<String, Kept<HireRecord>>,
+    pub fleet: Fleet,
     pub presence: BTreeMap<String, Kept<PresenceRecord>>,
     pub leader: Option<Kept<LeaderRecord>>,
     pub shares: Option<Kept<Shares>>,
@@ -115,8 +90,9 @@
     /// Jobs that ended of late: their tasks may still hold room on machines.
     pub departed: HashMap<String, JobRecord>,
     departed_order: VecDeque<String>,
-    /// Machines whose record was dropped of late: the cloud's list may still show them.
-    released: VecDeque<String>,
+    /// Jobs and machines whose records changed since they were last asked for.
+    changed_jobs: HashSet<String>,
+    changed_on: HashSet<String>,
     ended: HashMap<String, Final>,
     ended_order: VecDeque<String>,
 }
@@ -133,11 +109,20 @@
     pub fn reset(&mut self, pairs: Vec<Pair>, revision: u64) {
         let ended = std::mem::take(&mut self.ended);
         let ended_order = std::mem::take(&mut self.ended_order);
-        *self = Self::new(self.page_len);
-        self.ended = ended;
-        self.ended_order = ended_order;
+        let mut fleet = std::mem::take(&mut self.fleet);
+        fleet.reset();
+        let jobs = std::mem::take(&mut self.jobs);
+        let on = std::mem::take(&mut self.on);
+        *self = Self {
+            ended,
+            ended_order,
+            fleet,
+            changed_jobs: jobs.into_keys().collect(),
+            changed_on: on.into_keys().collect(),
+            ..Self::new(self.page_len)
+        };
         for pair in pairs {
-            self.put(&pair.k, pair.data, pair.mark);
+            self.put(&pair.k, pair.data.get(), pair.mark);
         }
         self.revision = revision;
     }
@@ -148,8 +133,8 @@
             if change.mark <= self.revision {
                 continue;
             }
-            if let Some(key) = change.set {
-                self.put(&key, change.data, change.mark);
+            if let (Some(key), Some(data)) = (change.set, change.data) {
+                self.put(&key, data.get(), change.mark);
             } else if let Some(key) = change.drop {
                 self.remove(&key, change.mark);
             }
@@ -174,7 +159,7 @@
 
     /// Puts one record. A mark no newer than the one held is passed over, so that our own
     /// writes can be taken in as soon as they are answered, before the log brings them.
-    pub fn put(&mut self, key: &str, data: serde_json::Value, mark: u64) {
+    pub fn put(&mut self, key: &str, data: &str, mark: u64) {
         let Some(rest) = key.strip_prefix(super::LIVE) else {
             return;
         };
@@ -194,8 +179,11 @@
                 let Ok(number) = number.parse() else { return };
                 self.put_page(id, number, page, mark);
             }
-            "m" => keep(&mut self.machines, key, name, data, mark),
-            "h" => keep(&mut self.hires, key, name, data, mark),
+            "m" => {
+                if let Some(record) = read(key, data) {
+                    self.fleet.put(name, record, mark);
+                }
+            }
             "n" => keep(&mut self.presence, key, name, data, mark),
             "o" => keep(&mut self.outlooks, key, name, data, mark),
             "shares" if self.shares.as_ref().is_none_or(|s| s.mark < mark) => {
@@ -227,6 +215,7 @@
         if self.ended.contains_key(id) {
             return; // our own accept, taken in after the log already told of the job's end
         }
+        self.changed_jobs.insert(id.to_owned());
         if let Some(job) = self.jobs.get_mut(id) {
             if job.mark < mark {
                 job.record = record;
@@ -245,10 +234,10 @@
         let numbers: Vec<usize> = self.orphans.range(range).map(|((_, n), _)| *n).collect();
         for number in numbers {
             if let Some(page) = self.orphans.remove(&(id.to_owned(), number)) {
+                job.count(&Page::default(), &page.record);
                 job.pages.insert(number, page);
             }
         }
-        job.count();
         self.jobs.insert(id.to_owned(), job);
     }
 
@@ -262,11 +251,12 @@
         }
         let before = old.map(|old| old.record.clone()).unwrap_or_default();
         self.index(id, number, &before, &page);
+        self.changed_jobs.insert(id.to_owned());
         let kept = Kept { record: page, mark };
         match self.jobs.get_mut(id) {
             Some(job) => {
+                job.count(&before, &kept.record);
                 job.pages.insert(number, kept);
-                job.count();
             }
             None => {
                 self.orphans.insert((id.to_owned(), number), kept);
@@ -276,24 +266,43 @@
 
     fn index(&mut self, id: &str, number: usize, before: &Page, after: &Page) {
         let first = number * self.page_len;
-        for (slot, entry) in before.0.iter().enumerate() {
-            if let Entry::Placed { machine, .. } = entry
-                && let Some(on) = self.on.get_mut(machine)
-            {
-                on.remove(&(id.to_owned(), (first + slot) as u32));
-                if on.is_empty() {
-                    self.on.remove(machine);
+        let machine = |entry: Option<&Entry>| match entry {
+            Some(Entry::Placed { machine, .. }) => Some(machine.clone()),
+            _ => None,
+        };
+        for slot in 0..before.0.len().max(after.0.len()) {
+            let (old, new) = (before.0.get(slot), after.0.get(slot));
+            if old == new {
+                continue;
+            }
+            let (old, new) = (machine(old), machine(new));
+            let task = (id.to_owned(), (first + slot) as u32);
+            if let Some(machine) = old {
+                if let Some(on) = self.on.get_mut(&machine) {
+                    on.remove(&task);
+                    if on.is_empty() {
+                        self.on.remove(&machine);
+                    }
                 }
+                self.changed_on.insert(machine);
             }
-        }
-        for (slot, entry) in after.0.iter().enumerate() {
-            if let Entry::Placed { machine, .. } = entry {
-                let on = self.on.entry(machine.clone()).or_default();
-                on.insert((id.to_owned(), (first + slot) as u32));
+            if let Some(machine) = new {
+                self.on.entry(machine.clone()).or_default().insert(task);
+                self.changed_on.insert(machine);
             }
         }
     }
 
+    /// Jobs whose record or progress changed since the last call.
+    pub fn take_changed_jobs(&mut self) -> HashSet<String> {
+        std::mem::take(&mut self.changed_jobs)
+    }
+
+    /// Machines on which other tasks are recorded than at the last call.
+    pub fn take_changed_on(&mut self) -> HashSet<String> {
+        std::mem::take(&mut self.changed_on)
+    }
+
     /// Removes one record, unless what is held is newer than the removal.
     pub fn remove(&mut self, key: &str, mark: u64) {
         let Some(rest) = key.strip_prefix(super::LIVE) else {
@@ -303,6 +312,7 @@
         match slice {
             "j" => {
                 if let Some(job) = self.jobs.remove(name) {
+                    self.changed_jobs.insert(name.to_owned());
                     self.depart(name, &job.record);
                     let last = match job.record.cancelled {
                         true => Final::Cancelled,
@@ -327,21 +337,12 @@
                 };
                 if let Some(old) = old {
                     self.index(id, number, &old.record, &Page::default());
-                }
-                if let Some(job) = self.jobs.get_mut(id) {
-                    job.count();
-                }
-            }
-            "m" => {
-                self.machines.remove(name);
-                self.released.push_back(name.to_owned());
-                if self.released.len() > MOST_DEPARTED {
-                    self.released.pop_front();
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.count(&old.record, &Page::default());
+                    }
                 }
             }
-            "h" => {
-                self.hires.remove(name);
-            }
+            "m" => self.fleet.remove(name, mark),
             "n" if self.presence.get(name).is_some_and(|p| p.mark < mark) => {
                 self.presence.remove(name);
             }
@@ -352,10 +353,6 @@
         }
     }
 
-    pub fn released(&self, name: &str) -> bool {
-        self.released.iter().any(|r| r == name)
-    }
-
     /// The controllers that are there.
     pub fn present(&self) -> BTreeSet<Member> {
         let presence = self.presence.iter();
@@ -367,9 +364,22 @@
             .collect()
     }
 
-    /// The controller that places a team's work.
-    pub fn owner_of_team(&self, team: &str) -> Option<&Member> {
-        self.shares.as_ref()?.record.teams.get(team)
+    /// The controller that places a job and ends it.
+    pub fn owner_of(&self, job: &JobRecord) -> Option<&Member> {
+        self.shares.as_ref()?.record.owner(&job.spec)
+    }
+
+    /// Where the records say that a task stands; tasks of jobs that ended have pages for a while.
+    pub fn entry(&self, job: &str, task: u32) -> Entry {
+        if let Some(job) = self.jobs.get(job) {
+            return job.entry(self.page_len, task);
+        }
+        if self.orphans.is_empty() {
+            return Entry::default();
+        }
+        let page = self.orphans.get(&(job.to_owned(), self.page_of(task)));
+        page.map(|kept| kept.record.get(task as usize % self.page_len))
+            .unwrap_or_default()
     }
 
     pub fn page_of(&self, task: u32) -> usize {
@@ -377,8 +387,8 @@
     }
 }
 
-fn read<T: for<'de> Deserialize<'de>>(key: &str, data: serde_json::Value) -> Option<T> {
-    match serde_json::from_value(data) {
+fn read<T: for<'de> Deserialize<'de>>(key: &str, data: &str) -> Option<T> {
+    match serde_json::from_str(data) {
         Ok(record) => Some(record),
         Err(error) => {
             tracing::error!(key, %error, "a record cannot be read");
@@ -391,7 +401,7 @@
     into: &mut BTreeMap<String, Kept<T>>,
     key: &str,
     name: &str,
-    data: serde_json::Value,
+    data: &str,
     mark: u64,
 ) {
     if into.get(name).is_some_and(|old| old.mark >= mark) {
@@ -410,6 +420,7 @@
     fn change(key: &str, data: serde_json::Value, mark: u64) -> Change {
         let drop = data.is_null().then(|| key.to_owned());
         let set = (!data.is_null()).then(|| key.to_owned());
+        let data = serde_json::value::to_raw_value(&data).ok();
         Change {
             set,
             drop,
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -5,8 +5,8 @@
 
 pub use wire::{Cause, Order, Report, TaskState};
 
+use crate::jobs::plans::Plans;
 use crate::jobs::{Entry, split_task};
-use crate::node::Overlay;
 use crate::state::Replica;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -14,16 +14,35 @@
 /// A task of a job, by number.
 pub type TaskId = (String, u32);
 
+/// What this node knows of its machines and their tasks beyond the records.
+#[derive(Debug, Default)]
+pub struct Workers {
+    pub live: HashMap<String, Live>,
+    /// Since when this node has owned each of its machines under its present token.
+    pub owned: HashMap<String, (Instant, u64)>,
+    pub stops: Stops,
+}
+
 /// What the owner knows of a machine beyond its record: kept in memory, learned anew by the next
 /// owner from reports.
 #[derive(Debug)]
 pub struct Live {
     pub report: Report,
+    /// When it last reported with our token: a copy of a report from before our ownership is no
+    /// sign of life, and neither are reports of a machine that never got an answer of ours.
     pub heard: Instant,
+    /// It has seen our token. Until then nothing is placed on it.
+    pub confirmed: bool,
+    /// Since when it has looked as if our answers do not reach it.
+    pub deaf: Option<Instant>,
+    /// Sessions that ended although its reports were answered.
+    pub lapses: u32,
     /// When the cloud takes it, if it has said so.
     pub taken_at: Option<Instant>,
     /// Attempts for which `run` was sent under this ownership.
     pub sent: HashSet<(TaskId, u64)>,
+    /// Of these, the ones that no report has shown yet, and when each was sent first.
+    pub unseen: HashMap<(TaskId, u64), Instant>,
     /// When each running attempt was first seen running.
     pub running_since: HashMap<TaskId, (u64, Instant)>,
     /// When each attempt was first seen on the machine or sent to it.
@@ -43,8 +62,12 @@
         Self {
             report,
             heard: now,
+            confirmed: false,
+            deaf: None,
+            lapses: 0,
             taken_at: None,
             sent: HashSet::new(),
+            unseen: HashMap::new(),
             running_since: HashMap::new(),
             seen_since: HashMap::new(),
             failed_jobs: HashSet::new(),
@@ -63,6 +86,42 @@
         }
     }
 
+    /// Whether the machine does what it is told, as of a report that is newer than the one held.
+    /// One that hears nothing shows it in two ways: a start that was ordered stays away, report
+    /// after report, and its sessions end although its reports are answered.
+    pub fn watch(&mut self, report: &Report, lease: Duration, patience: Duration, now: Instant) {
+        let answered = now.saturating_duration_since(self.heard) < lease.mul_f64(0.6);
+        if report.session > self.report.session {
+            self.sent.clear();
+            self.unseen.clear();
+            if answered && self.confirmed {
+                self.lapses += 1;
+                self.deaf.get_or_insert(now);
+            }
+            return;
+        }
+        let ignored = self.unseen.iter().filter(|((id, attempt), _)| {
+            let name = format!("{}/{}", id.0, id.1);
+            let shown = |t: &wire::ReportedTask| t.attempt == *attempt && t.task == name;
+            !report.tasks.iter().any(shown)
+        });
+        match ignored.map(|(_, since)| *since).min() {
+            Some(since) if now.saturating_duration_since(since) > patience => {
+                self.deaf.get_or_insert(since);
+            }
+            Some(_) => {}
+            // It follows, or has nothing to follow: then only time tells.
+            None if self
+                .deaf
+                .is_some_and(|since| now.saturating_duration_since(since) > lease.mul_f64(1.5)) =>
+            {
+                self.deaf = None;
+                self.lapses = 0;
+            }
+            None => {}
+        }
+    }
+
     /// Whether a report is newer than the one held: late copies must not undo it.
     pub fn is_newer(&self, report: &Report) -> bool {
         (report.session, report.seq) > (self.report.session, self.report.seq)
@@ -76,7 +135,7 @@
 #[derive(Clone, Copy)]
 pub struct Pending<'a> {
     pub stops: &'a Stops,
-    pub overlay: &'a Overlay,
+    pub plans: &'a Plans,
 }
 
 #[derive(Debug, Default, PartialEq)]
@@ -107,10 +166,7 @@
         };
         let id: TaskId = (job.to_owned(), index);
         let record = replica.jobs.get(job);
-        let entry = match record {
-            Some(job) => job.entry(replica.page_len, index),
-            None => orphan_entry(replica, &id),
-        };
+        let entry = replica.entry(job, index);
         let recorded = matches!(&entry, Entry::Placed { attempt, machine, .. }
             if *attempt == task.attempt && *machine == report.machine);
         if recorded {
@@ -183,15 +239,6 @@
     out
 }
 
-fn orphan_entry(replica: &Replica, id: &TaskId) -> Entry {
-    let page = replica.page_of(id.1);
-    replica
-        .orphans
-        .get(&(id.0.clone(), page))
-        .map(|kept| kept.record.get(id.1 as usize % replica.page_len))
-        .unwrap_or_default()
-}
-
 /// Tasks that the records place here and the report does not name: not begun, or gone.
 #[allow(clippy::too_many_arguments)]
 fn read_absences(
@@ -204,6 +251,7 @@
     reported: &HashMap<TaskId, u64>,
     out: &mut Reading,
 ) {
+    let before = std::mem::take(&mut live.unseen);
     let Some(on) = replica.on.get(&report.machine) else {
         return;
     };
@@ -212,10 +260,7 @@
             continue;
         }
         let record = replica.jobs.get(&id.0);
-        let entry = match record {
-            Some(job) => job.entry(replica.page_len, id.1),
-            None => orphan_entry(replica, id),
-        };
+        let entry = replica.entry(&id.0, id.1);
         let Entry::Placed {
             attempt, session, ..
         } = entry
@@ -232,12 +277,7 @@
         if session > report.session {
             continue; // a late report from before the start
         }
-        let page = (id.0.clone(), replica.page_of(id.1));
-        if pending
-            .overlay
-            .get(&page)
-            .is_some_and(|c| c.contains_key(&id.1))
-        {
+        if pending.plans.get(&id.0, id.1).is_some() {
             // Withdrawn already, and the record of that is under way: a `run` now would start
             // what is about to be placed elsewhere.
             continue;
@@ -254,7 +294,10 @@
             }
             continue;
         }
-        live.sent.insert((id.clone(), attempt));
+        let key = (id.clone(), attempt);
+        let first = before.get(&key).copied().unwrap_or(now);
+        live.unseen.insert(key.clone(), first);
+        live.sent.insert(key);
         live.seen_since.insert(id.clone(), (attempt, now));
         let name = format!("{}/{}", id.0, id.1);
         out.orders.push(Order::run(&name, attempt));
