--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -5,8 +5,6 @@
 use crate::jobs::Entry;
 use crate::membership;
 use crate::node::{Core, Node, wall_ms};
-use crate::renting::service::adopt;
-use crate::state::replica::MachineRecord;
 use crate::workers::wire;
 use hyper::StatusCode;
 use serde_json::json;
@@ -27,20 +25,17 @@
         Err(problem) => return error(StatusCode::BAD_REQUEST, &problem.to_string()),
     };
     let owner = {
-        let core = node.core();
-        let kept = core.replica.machines.get(&report.machine);
-        kept.map(|k| k.record.owner.clone())
+        let mut core = node.core();
+        core.counts.reports += 1;
+        let machine = core.replica.fleet.machines.get(&report.machine);
+        machine.map(|m| m.owner.clone())
     };
     match owner {
         Some(owner) if owner == node.me => {}
         // Ours before a restart: the leader has yet to give it to someone who is there.
         Some(owner) if owner.name == node.me.name => return elsewhere(None),
         Some(owner) => return elsewhere(Some(&owner.name)),
-        None => {
-            if let Err(answer) = greet_unknown(node, &report).await {
-                return answer;
-            }
-        }
+        None => return greet_unknown(node),
     }
     if node.is_cut_off() {
         // The worker must find its new owner: as long as we answer 200 it stays with us.
@@ -52,16 +47,21 @@
     if !node.has_state(blind) {
         return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "no state service");
     }
-    let taken = take(&mut node.core(), &report, Instant::now());
-    node.stirred.notify_one();
+    let taken = take(node, &mut node.core(), &report, Instant::now());
+    if matches!(taken, Taken::Read { freed: true, .. }) {
+        node.stirred.notify_one();
+    }
     match taken {
         Taken::NotOurs => return elsewhere(None),
         // Its task list is old, and nobody reads the answer.
         Taken::Late => return error(StatusCode::CONFLICT, "an older report"),
-        Taken::Read { freed: false } => {}
+        Taken::Read {
+            freed: false,
+            answer,
+        } => return json(StatusCode::OK, &answer),
         // What is placed in the room just freed goes out with this answer, once it is recorded;
-        // with the next report's it would come a second or more later.
-        Taken::Read { freed: true } => node.next_tick(ANSWER_WITHIN).await,
+        // with the next report's it would come a report's interval later.
+        Taken::Read { freed: true, .. } => node.next_tick(ANSWER_WITHIN).await,
     }
     match orders(&mut node.core(), &report, Instant::now()) {
         Some(answer) => json(StatusCode::OK, &answer),
@@ -71,7 +71,7 @@
 
 /// Longest that an answer waits for the record of what it is to start: far less than the 4 s
 /// after which the worker would drop it.
-const ANSWER_WITHIN: Duration = Duration::from_millis(300);
+const ANSWER_WITHIN: Duration = Duration::from_millis(1200);
 
 enum Taken {
     NotOurs,
@@ -79,87 +79,74 @@
     /// `freed`: tasks have ended since the last report.
     Read {
         freed: bool,
+        answer: wire::Answer,
     },
 }
 
 /// What the machine is told, by the records as they now stand.
 fn orders(core: &mut Core, report: &Report, now: Instant) -> Option<wire::Answer> {
-    let token = core.replica.machines.get(&report.machine)?.mark;
-    if core
-        .owned
-        .get(&report.machine)
-        .is_none_or(|(_, mark)| *mark != token)
-    {
+    let token = core.replica.fleet.machines.get(&report.machine)?.token;
+    let owned = core.workers.owned.get(&report.machine);
+    if owned.is_none_or(|(_, known)| *known != token) {
         return None; // it changed hands while the answer waited
     }
-    let mut live = core.live.remove(&report.machine)?;
+    let mut live = core.workers.live.remove(&report.machine)?;
     let pending = Pending {
-        stops: &core.stops,
-        overlay: &core.overlay,
+        stops: &core.workers.stops,
+        plans: &core.plans,
     };
     let reading = read(report, &mut live, &core.replica, token, &pending, now);
-    core.live.insert(report.machine.clone(), live);
+    core.workers.live.insert(report.machine.clone(), live);
     Some(wire::Answer {
         token,
         orders: reading.orders,
     })
 }
 
-/// A machine in no record: the leader adopts it, others send it to the leader.
-async fn greet_unknown(node: &Arc<Node>, report: &Report) -> Result<(), Answer> {
-    let Some(mark) = membership::lead_mark(node) else {
-        let core = node.core();
-        let leader = core.replica.leader.as_ref();
-        let leader = leader.map(|l| l.record.member.as_str());
-        return Err(elsewhere(leader.filter(|l| *l != node.me.name)));
-    };
-    let refuse = || come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "not known yet");
-    {
-        let core = node.core();
-        // Our own rental may be about to be recorded; and one just released only reports late.
-        if core.replica.released(&report.machine) || !core.replica.hires.is_empty() {
-            return Err(refuse());
-        }
-    }
-    let record = MachineRecord {
-        owner: node.me.clone(),
-        addr: report.addr.clone(),
-        kind: report.kind.clone(),
-        zone: report.zone.clone(),
-        spot: report.spot,
-        hired_ms: wall_ms(),
-        returning: false,
-        closing: false,
-    };
-    match adopt(node, mark, &report.machine, record).await {
-        true => Ok(()),
-        false => Err(refuse()),
-    }
+/// A machine in no record. Its report may be a late copy of one from before its release, so it
+/// proves nothing: the leader adopts machines by the cloud's list alone, and until then, or until
+/// the rental is recorded that it belongs to, its worker asks again.
+fn greet_unknown(node: &Node) -> Answer {
+    if membership::lead_mark(node).is_some() {
+        return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "not known yet");
+    }
+    let core = node.core();
+    let leader = core.replica.leader.as_ref();
+    let leader = leader.map(|l| l.record.member.as_str());
+    elsewhere(leader.filter(|l| *l != node.me.name))
 }
 
 /// Reads an owned machine's report into what is known and planned, and answers it.
-fn take(core: &mut Core, report: &Report, now: Instant) -> Taken {
+fn take(node: &Node, core: &mut Core, report: &Report, now: Instant) -> Taken {
     let name = report.machine.clone();
-    core.note_mark(&name, now);
-    let Some(token) = core.replica.machines.get(&name).map(|kept| kept.mark) else {
+    core.note_owner(&node.me, &name, now);
+    let machine = core.replica.fleet.machines.get(&name);
+    let Some(token) = machine.filter(|m| m.owner == node.me).map(|m| m.token) else {
         return Taken::NotOurs;
     };
     if report.token > token {
-        return Taken::NotOurs; // its key has changed hands since; the news has yet to reach us
+        return Taken::NotOurs; // it has changed hands since; the news has yet to reach us
     }
     let cache_gb = core.kind(&report.kind).map_or(0.0, |k| k.cache_gb);
+    let first = !core.workers.live.contains_key(&name);
     let mut live = core
+        .workers
         .live
         .remove(&name)
         .unwrap_or_else(|| Live::new(report.clone(), now));
-    if live.report != *report && !live.is_newer(report) {
-        core.live.insert(name, live);
+    if !first && !live.is_newer(report) {
+        core.workers.live.insert(name, live);
         return Taken::Late;
     }
-    if report.session > live.report.session {
-        live.sent.clear();
+    if !first {
+        let lease = node.settings.lease();
+        let patience = node.settings.report_every().mul_f64(2.5) + Duration::from_secs(4);
+        live.watch(report, lease, patience, now);
+    }
+    if report.token == token {
+        live.heard = now;
+        live.confirmed = true;
     }
-    live.heard = now;
     if core.serves_its_purpose(&name, &report.kind) {
         live.used_at = now;
     }
@@ -167,8 +154,8 @@
         .notice_s
         .map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
     let pending = Pending {
-        stops: &core.stops,
-        overlay: &core.overlay,
+        stops: &core.workers.stops,
+        plans: &core.plans,
     };
     let reading = read(report, &mut live, &core.replica, token, &pending, now);
     for task in &report.tasks {
@@ -209,8 +196,12 @@
         }
         core.plan(&id, entry);
     }
-    core.live.insert(name, live);
-    Taken::Read { freed }
+    core.workers.live.insert(name, live);
+    let answer = wire::Answer {
+        token,
+        orders: reading.orders,
+    };
+    Taken::Read { freed, answer }
 }
 
 fn learn(core: &mut Core, live: &mut Live, id: &super::TaskId, ran: Option<Duration>) {
@@ -218,13 +209,16 @@
         return;
     };
     let spec = &job.record.spec;
-    let first = job.entry(core.replica.page_len, id.1).last_attempt() == 1;
+    let first = core.replica.entry(&id.0, id.1).last_attempt() == 1;
     let age = crate::node::age_s(job.record.accepted_ms, wall_ms());
     let late = spec.deadline_s.is_some_and(|due| age > due);
-    if let Some(pool) = crate::placement::views::kinds_for(core, spec).first() {
-        let tally = core.rent.tally.entry(pool.clone()).or_default();
+    let pool = crate::placement::views::kinds_for(core, spec);
+    if let Some(kind) = pool.first().and_then(|k| core.kind(k)) {
+        let share = spec.need().share(&crate::placement::views::room_of(kind));
+        let tally = core.rent.tally.entry(kind.name.clone()).or_default();
         tally.finished += 1;
-        tally.finished_late += u32::from(late);
+        tally.counted += share;
+        tally.late += if late { share } else { 0.0 };
     }
     let Some(ran) = ran.filter(|_| first && spec.estimate_s > 0.0) else {
         return;
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -17,7 +17,7 @@
     let job = json!({"spec": spec("job-1", 4), "accepted_ms": 0, "cancelled": cancelled});
     let pair = |k: &str, data: Value, mark| Pair {
         k: k.into(),
-        data,
+        data: serde_json::value::to_raw_value(&data).unwrap(),
         mark,
     };
     replica.reset(
@@ -36,13 +36,13 @@
 }
 
 fn trace(replica: &Replica, report: Report) -> String {
-    trace_with(replica, report, &Stops::new(), &Overlay::new())
+    trace_with(replica, report, &Stops::new(), &Plans::default())
 }
 
-fn trace_with(replica: &Replica, report: Report, stops: &Stops, overlay: &Overlay) -> String {
+fn trace_with(replica: &Replica, report: Report, stops: &Stops, plans: &Plans) -> String {
     let now = Instant::now();
     let mut live = Live::new(report.clone(), now);
-    let pending = Pending { stops, overlay };
+    let pending = Pending { stops, plans };
     let reading = read(&report, &mut live, replica, TOKEN, &pending, now);
     let mut text = String::new();
     for ((job, task), entry) in &reading.facts {
@@ -139,12 +139,13 @@
     let replica = replica(false, json!([[1, "vm-1", 1]]));
     let id: TaskId = ("job-1".into(), 0);
     let stops = Stops::from([((id.clone(), 1), 0.0)]);
-    let none = Overlay::new();
+    let none = Plans::default();
     let empty = || report(1, TOKEN, json!([]));
     let first = trace_with(&replica, empty(), &stops, &none);
-    let planned = BTreeMap::from([(0, Entry::Waiting { last: 1 })]);
-    let overlay = Overlay::from([(("job-1".to_string(), 0), planned)]);
-    let second = trace_with(&replica, empty(), &Stops::new(), &overlay);
+    let mut plans = Plans::default();
+    let held = replica.entry("job-1", 0);
+    plans.insert(&id, &held, Entry::Waiting { last: 1 });
+    let second = trace_with(&replica, empty(), &Stops::new(), &plans);
     insta::assert_snapshot!(format!("withdrawn\n{first}not recorded yet\n{second}"), @r#"
     withdrawn
     record job-1/0 Waiting { last: 1 }
