Choose an array's controller by room; share spot machines apart; put late gangs off to their next aim

Gangs waited for machines whose task ran past its estimate: each was expected to end at any moment. Exits took most of the puts.

At acceptance an array goes to the controller whose room is least spoken for; spot machines are shared among work that may use them; writes that some leave go to those who lack them; what runs past its time is expected to take a third more; a gang that cannot keep its first aim goes by its next one; more urgent work is placed first; machines that are cleared for a gang are kept for it, and gangs stop others only once they have waited too long to begin.

Tried: gangs stopping clips whenever they would be late.

--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -2,6 +2,7 @@
 
 use super::{Answer, Server, come_back, error, json};
 use crate::jobs::{Final, JobRecord, JobSpec, Stage, is_job_id};
+use crate::membership;
 use crate::node::{Core, Node, wall_ms};
 use crate::placement::views::{kinds_for, room_of};
 use crate::state::budget::Need;
@@ -153,10 +154,12 @@
     if node.state.writes_left(Need::User) == 0 {
         return busy();
     }
+    let placer = membership::choose_placer(node, &node.core(), &spec);
     let record = JobRecord {
         spec,
         accepted_ms: wall_ms(),
         cancelled: false,
+        placer,
     };
     let guards = [
         Guard {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -19,6 +19,10 @@
     pub accepted_ms: u64,
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub cancelled: bool,
+    /// The controller that had most room for it at acceptance. It places the job as long as it
+    /// is there.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub placer: Option<String>,
 }
 
 /// What is kept of a job for ever.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -213,16 +213,50 @@
             By::Start => 1.0,
             By::End => (core.duration(spec) * 1.5 / (due - age).max(0.1)).clamp(0.2, 1.0),
         };
-        if let Some(member) = shares.owner(spec) {
+        if let Some(member) = shares.owner(&job.record) {
             let levels = demand
                 .entry((member.clone(), kind.name.clone()))
                 .or_default();
-            *levels.entry(spec.urgency).or_default() += machines * at_once;
+            let wanted = levels.entry(spec.urgency).or_default();
+            match spec.spot {
+                true => wanted.any += machines * at_once,
+                false => wanted.ordinary += machines * at_once,
+            }
         }
     }
     (demand, limited, gangs)
 }
 
+/// Who should place a new job: of those whose machines it may use, the one whose room is least
+/// spoken for. Where a gang's controller has machines to spare, arrays fill them.
+pub fn choose_placer(node: &Node, core: &Core, spec: &crate::jobs::JobSpec) -> Option<String> {
+    let shares = &core.replica.shares.as_ref()?.record;
+    let kinds = kinds_for(core, spec);
+    if !shares.may_choose(spec) || kinds.is_empty() {
+        return None;
+    }
+    let (demand, ..) = demand(node, core, shares);
+    let mut room: BTreeMap<&Member, f64> = BTreeMap::new();
+    for machine in core.replica.fleet.machines.values() {
+        let fits = kinds.first() == Some(&machine.kind) && (spec.spot || !machine.spot);
+        if fits && machine.state == crate::fleet::Use::Open {
+            *room.entry(&machine.owner).or_default() += 1.0;
+        }
+    }
+    let spoken_for = |m: &Member| {
+        let levels = demand.get(&(m.clone(), kinds[0].clone()));
+        let levels = levels.into_iter().flat_map(|l| l.values());
+        let all: f64 = levels.map(|w| w.any + w.ordinary).sum();
+        // Even work without any machine counts: so arrivals before the first boot are parted.
+        (all + 1.0) / (room.get(m).copied().unwrap_or(0.0) + 1.0)
+    };
+    let best = shares
+        .members
+        .iter()
+        .min_by(|a, b| spoken_for(a).total_cmp(&spoken_for(b)));
+    best.map(|m| m.name.clone())
+}
+
 fn wanted_change(node: &Node, core: &Core, settled: bool) -> Change {
     let replica = &core.replica;
     let present = replica.present();
@@ -243,6 +277,7 @@
             name,
             kind: &m.kind,
             zone: &m.zone,
+            spot: m.spot,
             owner: &m.owner,
             tasks: replica.on.get(name).map_or(0, |on| on.len() as u32),
         })
--- a/src/membership/shares.rs
+++ b/src/membership/shares.rs
@@ -6,7 +6,7 @@
 //! stay whole, since their limit must hold exactly and one controller alone can see to that. Gangs
 //! go to few controllers, whose machines are then not parted into pieces too small for them.
 
-use crate::jobs::{JobSpec, Urgency};
+use crate::jobs::{JobRecord, JobSpec, Urgency};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -49,16 +49,26 @@
 
 impl Shares {
     /// The controller that places a job and ends it.
-    pub fn owner(&self, spec: &JobSpec) -> Option<&Member> {
+    pub fn owner(&self, job: &JobRecord) -> Option<&Member> {
+        let spec = &job.spec;
         let of = |list: &[usize]| list.get(spot_of(&spec.id) % list.len().max(1)).copied();
+        let named = || {
+            let name = job.placer.as_ref()?;
+            self.members.iter().position(|m| m.name == *name)
+        };
         let at = match self.teams.get(&spec.team) {
             Some(at) => Some(*at),
             None if spec.is_gang() => of(&self.gangs),
-            None => of(&self.slots),
+            None => named().or_else(|| of(&self.slots)),
         };
         self.members.get(at?)
     }
 
+    /// Whether a job's placer is chosen at its acceptance.
+    pub fn may_choose(&self, spec: &JobSpec) -> bool {
+        !spec.is_gang() && !self.teams.contains_key(&spec.team)
+    }
+
     fn at(&self, member: &Member) -> Option<usize> {
         self.members.iter().position(|m| m == member)
     }
@@ -174,6 +184,7 @@
     pub name: &'a str,
     pub kind: &'a str,
     pub zone: &'a str,
+    pub spot: bool,
     pub owner: &'a Member,
     pub tasks: u32,
 }
@@ -191,37 +202,73 @@
     }
 }
 
+/// Machines that work would fill: any, and only such as are not spot machines.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Wanted {
+    pub any: f64,
+    pub ordinary: f64,
+}
+
 /// Machines that each controller's work would fill, by kind and urgency.
-pub type Demand = BTreeMap<(Member, String), BTreeMap<Urgency, f64>>;
+pub type Demand = BTreeMap<(Member, String), BTreeMap<Urgency, Wanted>>;
 
-/// How many machines of a kind each should have: more urgent work first, in proportion where it
-/// lacks machines. What nobody's work would fill stays where it is: moving it would only begin
-/// its hold anew.
+/// How many machines of a kind each should have, spot ones and others.
+#[derive(Debug, Default)]
+pub struct Targets {
+    pub spot: BTreeMap<Member, f64>,
+    pub ordinary: BTreeMap<Member, f64>,
+}
+
+impl Targets {
+    pub fn of(&self, spot: bool) -> &BTreeMap<Member, f64> {
+        if spot { &self.spot } else { &self.ordinary }
+    }
+}
+
+/// More urgent work first, in proportion where it lacks machines. What nobody's work would fill
+/// stays where it is: moving it would only begin its hold anew. Spot machines go to work that may
+/// use them, which leaves the others to work that may not.
 pub fn targets(
     present: &BTreeSet<Member>,
     kind: &str,
     demand: &Demand,
-    total: f64,
-) -> BTreeMap<Member, f64> {
+    spot: f64,
+    ordinary: f64,
+) -> Targets {
     let wants = |m: &Member| demand.get(&(m.clone(), kind.to_owned()));
-    let mut targets: BTreeMap<Member, f64> = present.iter().map(|m| (m.clone(), 0.0)).collect();
-    let mut left = total;
+    let none: BTreeMap<Member, f64> = present.iter().map(|m| (m.clone(), 0.0)).collect();
+    let mut targets = Targets {
+        spot: none.clone(),
+        ordinary: none,
+    };
+    let (mut spot, mut ordinary) = (spot, ordinary);
     let levels: BTreeSet<Urgency> = present
         .iter()
         .filter_map(wants)
         .flat_map(|d| d.keys().copied())
         .collect();
     for level in levels.into_iter().rev() {
-        let at = |m: &Member| wants(m).and_then(|d| d.get(&level)).copied().unwrap_or(0.0);
-        let all: f64 = present.iter().map(at).sum();
-        if all <= 0.0 {
-            continue;
-        }
-        let part = (left / all).min(1.0);
-        for (member, target) in &mut targets {
-            *target += at(member) * part;
+        let at = |m: &Member| wants(m).and_then(|d| d.get(&level)).copied();
+        let at = |m: &Member| at(m).unwrap_or_default();
+        let any: f64 = present.iter().map(|m| at(m).any).sum();
+        let spot_part = if any > 0.0 {
+            (spot / any).min(1.0)
+        } else {
+            0.0
+        };
+        let rest = |m: &Member| at(m).ordinary + at(m).any * (1.0 - spot_part);
+        let all: f64 = present.iter().map(rest).sum();
+        let part = if all > 0.0 {
+            (ordinary / all).min(1.0)
+        } else {
+            0.0
+        };
+        for member in present {
+            *targets.spot.get_mut(member).expect("present") += at(member).any * spot_part;
+            *targets.ordinary.get_mut(member).expect("present") += rest(member) * part;
         }
-        left -= all * part;
+        spot -= any * spot_part;
+        ordinary -= all * part;
     }
     targets
 }
@@ -278,12 +325,15 @@
     if present.is_empty() {
         return moves;
     }
-    let kinds: BTreeSet<&str> = machines.iter().map(|m| m.kind).collect();
-    for kind in kinds {
-        let mut ours: Vec<&Shared> = machines.iter().filter(|m| m.kind == kind).collect();
+    let kinds: BTreeSet<(&str, bool)> = machines.iter().map(|m| (m.kind, m.spot)).collect();
+    for (kind, spot) in kinds {
+        let of_kind = || machines.iter().filter(|m| m.kind == kind);
+        let count = |spot| of_kind().filter(|m| m.spot == spot).count() as f64;
+        let all = targets(present, kind, demand, count(true), count(false));
+        let mut ours: Vec<&Shared> = of_kind().filter(|m| m.spot == spot).collect();
         ours.sort_by_key(|m| (m.zone, m.name));
         let mut sharing = Sharing {
-            targets: targets(present, kind, demand, ours.len() as f64),
+            targets: all.of(spot).clone(),
             have: present.iter().map(|m| (m.clone(), 0.0)).collect(),
             by_zone: BTreeMap::new(),
         };
@@ -337,6 +387,13 @@
         }
     }
 
+    fn any(n: f64) -> Wanted {
+        Wanted {
+            any: n,
+            ordinary: 0.0,
+        }
+    }
+
     fn show(shares: &Shares) -> String {
         let mut text = String::new();
         for (at, member) in shares.members.iter().enumerate() {
@@ -404,6 +461,7 @@
             name,
             kind: "m",
             zone: "z",
+            spot: false,
             owner,
             tasks,
         };
@@ -418,7 +476,7 @@
         let wants = |member: &Member, urgency, n: f64| {
             (
                 (member.clone(), "m".to_string()),
-                BTreeMap::from([(urgency, n)]),
+                BTreeMap::from([(urgency, any(n))]),
             )
         };
         let show = |demand: &Demand| -> String {
@@ -454,12 +512,13 @@
                 name,
                 kind: "m",
                 zone: if n % 2 == 0 { "east" } else { "west" },
+                spot: false,
                 owner: &gone,
                 tasks: 1,
             })
             .collect();
         let present: BTreeSet<Member> = ["a", "b", "c"].map(|n| member(n, 1)).into();
-        let level = |n: f64| BTreeMap::from([(Urgency::Standard, n)]);
+        let level = |n: f64| BTreeMap::from([(Urgency::Standard, any(n))]);
         let demand: Demand = present
             .iter()
             .map(|m| ((m.clone(), "m".to_string()), level(20.0)))
--- a/src/placement/cache.rs
+++ b/src/placement/cache.rs
@@ -2,16 +2,16 @@
 //! happened to are looked at anew. Times are kept as seconds since the process began.
 
 use super::views::{STOP_TAKES_S, kinds_for, room_of};
-use super::{Chunk, MachineView, Names, Need, Zones};
+use super::{Chunk, JobView, MachineView, Names, Need, Zones};
 use crate::cloud::Kind;
 use crate::fleet::Use;
 use crate::jobs::{Entry, JobRecord, JobSpec};
 use crate::membership::shares::Member;
 use crate::node::{Core, age_s};
 use crate::workers::{Live, TaskId, TaskState};
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The expected boot time over the catalogue's.
 pub const BOOT: f64 = 1.1;
@@ -56,8 +56,20 @@
     pub jobs: BTreeMap<String, Progress>,
     shares_mark: u64,
     kinds_known: usize,
+    /// Machines being cleared for a job, and until when nothing else may go there. Without this,
+    /// what was stopped for a gang would be placed again while its last machine is cleared.
+    kept: HashMap<String, (Vec<Arc<str>>, Instant)>,
 }
 
+/// A task that runs on past its time takes about this part of what it has run: the owners'
+/// estimates are often wrong by half. Expecting it to end at any moment kept gangs waiting for
+/// the machine of one such task, and all their others idle.
+const OVERDUE: f64 = 0.35;
+
+/// How long machines are kept for a job that they are cleared for: stopping takes a report or
+/// two, and a save its time.
+const KEPT_FOR: Duration = Duration::from_secs(10);
+
 /// Most waiting tasks of one job that are looked at in one mapping.
 const MOST_WAITING: usize = 2000;
 
@@ -70,6 +82,26 @@
             jobs: BTreeMap::new(),
             shares_mark: 0,
             kinds_known: 0,
+            kept: HashMap::new(),
+        }
+    }
+
+    pub fn keep_for(&mut self, job: &str, machines: Vec<Arc<str>>, now: Instant) {
+        self.kept.insert(job.to_owned(), (machines, now + KEPT_FOR));
+    }
+
+    /// Marks the machines that are kept for one of the jobs, and forgets what is over.
+    pub fn mark_kept(&mut self, jobs: &[JobView], machines: &mut [MachineView], now: Instant) {
+        if self.kept.is_empty() {
+            return;
+        }
+        self.kept
+            .retain(|id, (_, until)| *until > now && jobs.iter().any(|j| j.id == *id));
+        for (id, (names, _)) in &self.kept {
+            let job = jobs.iter().position(|j| j.id == *id);
+            for machine in machines.iter_mut().filter(|m| names.contains(&m.name)) {
+                machine.kept_for = job;
+            }
         }
     }
 
@@ -258,6 +290,7 @@
             false => 0.0,
         },
         holds: Vec::new(),
+        kept_for: None,
     };
     Some(Seen {
         view,
@@ -290,7 +323,7 @@
     };
     if let Some((_, since)) = live.running_since.get(id) {
         let ran = now.saturating_duration_since(*since).as_secs_f64();
-        return (whole - ran).max(1.0 + ran * 0.1);
+        return (whole - ran).max(1.0 + ran * OVERDUE);
     }
     let seen = live.seen_since.get(id);
     let waited = seen.map_or(0.0, |(_, since)| {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -10,6 +10,7 @@
 pub mod service;
 pub mod views;
 
+use crate::jobs::Urgency;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
@@ -102,6 +103,7 @@
 pub struct Hold {
     pub at: f64,
     pub need: Need,
+    pub job: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -123,6 +125,8 @@
     /// An hour's price.
     pub price: f64,
     pub holds: Vec<Hold>,
+    /// The only job that may use it for now: it is being cleared for that one.
+    pub kept_for: Option<usize>,
 }
 
 impl MachineView {
@@ -231,6 +235,8 @@
 #[derive(Debug, Clone)]
 pub struct JobView {
     pub id: String,
+    /// Its place among the jobs of this mapping.
+    pub index: usize,
     pub gang: bool,
     pub need: Need,
     /// Its task fills most of a machine: smaller work must not take the room piece by piece.
@@ -250,8 +256,11 @@
     pub arrived: f64,
     /// All its team's unfinished jobs fit into the team's guarantee: it need not wait for others.
     pub guaranteed: bool,
+    pub urgency: Urgency,
     /// Seconds from now until its tasks should run or be complete, whichever `by` says.
     pub due: f64,
+    /// The time after that one which it could still keep.
+    pub next_due: f64,
     pub by: By,
     pub duration: f64,
     /// Seconds after which a machine rented now would be up.
@@ -275,6 +284,7 @@
     /// Whether a machine is one that it may run on, wherever its other tasks are.
     fn may_use(&self, machine: &MachineView) -> bool {
         (!machine.spot || self.spot)
+            && machine.kept_for.is_none_or(|job| job == self.index)
             && self.kinds.contains(&machine.kind)
             && self.zone.is_none_or(|z| z == machine.zone)
             && (self.avoid.is_empty() || !self.avoid.contains(&*machine.name))
@@ -294,16 +304,22 @@
 /// back.
 const NEAR: f64 = 0.05;
 
-/// Jobs in the order of the batch queue: by earliest time, teams within their guarantee first.
+/// Jobs in the order of the batch queue: by earliest time. Teams within their guarantee go first,
+/// and then the more urgent: what takes room that more urgent work waits for would only be
+/// stopped again to make it. A job that has waited too long to begin goes before all of them.
 fn batch_order(jobs: &[JobView]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..jobs.len()).collect();
     order.sort_by(|a, b| {
-        let first = jobs[*b].guaranteed.cmp(&jobs[*a].guaranteed);
-        first.then(jobs[*a].due.total_cmp(&jobs[*b].due))
+        let (a, b) = (&jobs[*a], &jobs[*b]);
+        first(b).cmp(&first(a)).then(a.due.total_cmp(&b.due))
     });
     order
 }
 
+fn first(job: &JobView) -> (bool, bool, Urgency) {
+    (job.begun == 0 && job.due < 0.0, job.guaranteed, job.urgency)
+}
+
 /// Jobs in the order of the startup queue: by arrival.
 fn startup_order(jobs: &[JobView]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..jobs.len()).collect();
--- a/src/placement/now.rs
+++ b/src/placement/now.rs
@@ -2,8 +2,8 @@
 //! gangs and tasks that fill a machine look further, to have room set aside for them.
 
 use super::{
-    Hold, JobView, MachineView, NEAR, Need, SLACK, Start, Zones, batch_order, gang_places,
-    startup_order,
+    By, Hold, JobView, MachineView, NEAR, Need, SLACK, Start, Zones, batch_order,
+    first as first_class, gang_places, startup_order,
 };
 
 /// A job that found no room, and when it would if it waits.
@@ -11,6 +11,8 @@
 pub struct Waits {
     pub job: usize,
     pub start: Option<f64>,
+    /// Whether the room that it waits for is set aside: else smaller work would take it again.
+    pub held: bool,
 }
 
 #[derive(Debug, Default, Clone, PartialEq)]
@@ -33,6 +35,8 @@
     zones: Zones,
     /// Nothing more of it can start now.
     over: bool,
+    /// It cannot keep its earliest time any more, and goes by the next one.
+    put_off: bool,
 }
 
 struct Placer<'a> {
@@ -140,7 +144,11 @@
             }
         }
         self.progress[job].over = true;
-        self.out.waits.push(Waits { job, start: None });
+        self.out.waits.push(Waits {
+            job,
+            start: None,
+            held: false,
+        });
     }
 
     /// A gang's tasks start together or not at all. One that must wait, and a task that fills a
@@ -157,7 +165,6 @@
             }
             let places = gang_places(view, size, self.machines, &mut self.out.steps);
             let Some(places) = places.filter(|p| self.zones_allow(job, p)) else {
-                self.out.waits.push(Waits { job, start: None });
                 break;
             };
             let start = places.iter().map(|p| p.start).fold(0.0, f64::max);
@@ -172,19 +179,32 @@
                 }
                 continue;
             }
+            // Whoever cannot be in time whatever is done goes by its next time: smaller gangs that
+            // can be are not kept waiting for a large one that is late anyway.
+            if view.due > 0.0
+                && view.next_due > view.due
+                && view.by == By::Start
+                && start > view.due
+                && !self.progress[job].put_off
+            {
+                self.progress[job].put_off = true;
+                return;
+            }
             self.looked_ahead += 1;
-            self.out.waits.push(Waits {
-                job,
-                start: Some(start),
-            });
             if self.held > 0 && (self.held + size) as f64 > self.machines.len() as f64 * MOST_HELD {
                 break;
             }
             self.held += size;
+            self.out.waits.push(Waits {
+                job,
+                start: Some(start),
+                held: true,
+            });
             for place in places {
                 let hold = Hold {
                     at: start,
                     need: view.need,
+                    job,
                 };
                 let holds = &mut self.machines[place.machine].holds;
                 let before = holds.partition_point(|h| h.at <= hold.at);
@@ -260,6 +280,7 @@
                 quota: job.quota,
                 zones: job.zones.clone(),
                 over: false,
+                put_off: false,
             })
             .collect(),
         machines,
@@ -269,7 +290,7 @@
         looked_ahead: 0,
         out: Placing::default(),
     };
-    let batch = batch_order(jobs);
+    let mut batch = batch_order(jobs);
     let startup = startup_order(jobs);
     let (mut batch_at, mut startup_at) = (0, 0);
     while placer.out.starts.len() < most {
@@ -298,6 +319,17 @@
             placer.run(first, 1);
         } else if placer.is_whole(head) {
             placer.run_whole(head);
+            if placer.progress[head].put_off && !placer.progress[head].over {
+                let job = &jobs[head];
+                let later = |other: &usize| {
+                    let other = &jobs[*other];
+                    first_class(other) < first_class(job)
+                        || (first_class(other) == first_class(job) && other.due > job.next_due)
+                };
+                let rest = &batch[batch_at + 1..];
+                let place = batch_at + rest.iter().position(later).unwrap_or(rest.len());
+                batch[batch_at..=place].rotate_left(1);
+            }
         } else {
             let left = most - placer.out.starts.len();
             placer.run(head, left);
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -34,8 +34,8 @@
 /// Most work that is lost for a start, in seconds of the starting tasks' own size. Beyond it the
 /// work done twice makes more tasks late than it saves.
 const MOST_LOST_S: f64 = 2.0;
-/// A gang waits for many machines at once; until the last one is empty the others stand idle.
-/// Stopping what keeps them from it costs no more than that.
+/// A gang of many tasks stops others only when it has waited too long to begin: tried for every
+/// gang that would be late, it cost a quarter of all small tasks their first run.
 const MOST_LOST_FOR_GANG_S: f64 = 15.0;
 
 fn may_stop(claim: &Claim, victim: &Occupant) -> bool {
@@ -45,6 +45,15 @@
 /// A machine, and the tasks there that give way.
 type Cleared = (usize, Vec<TaskId>);
 
+/// What makes room.
+#[derive(Debug, Default)]
+pub struct Made {
+    /// Tasks to stop, with their attempt and the grace for saving.
+    pub stops: Vec<(TaskId, u64, f64)>,
+    /// Machines that are cleared, each for one job.
+    pub cleared: Vec<(usize, Vec<usize>)>,
+}
+
 /// Which tasks to stop. Jobs that would be late where they are expected to start, and in time if
 /// room were made, make room; each on the machines where least is lost. A gang needs room for
 /// all its tasks, in one zone where it must share one.
@@ -56,8 +65,8 @@
     occupants: &dyn Fn(&str) -> Vec<Occupant>,
     stop_takes_s: f64,
     most: usize,
-) -> Vec<(TaskId, u64, f64)> {
-    let mut stops: Vec<(TaskId, u64, f64)> = Vec::new();
+) -> Made {
+    let mut made = Made::default();
     let mut touched: HashSet<usize> = HashSet::new();
     let mut there: HashMap<usize, Vec<Occupant>> = HashMap::new();
     let mut order: Vec<&Waits> = waits.iter().collect();
@@ -74,7 +83,9 @@
         let soon = |start: f64| {
             start <= stop_takes_s * 2.0 || !job.is_late(start, 0.0, start + job.duration)
         };
-        if wait.start.is_some_and(soon) {
+        let clearing = machines.iter().any(|m| m.kept_for == Some(wait.job));
+        let may_wait = job.gang && job.waiting.len() > 1 && (!wait.held || job.due > 0.0);
+        if wait.start.is_some_and(soon) || may_wait || clearing {
             continue;
         }
         let size = if job.gang { job.waiting.len() } else { 1 };
@@ -84,6 +95,7 @@
             for (index, machine) in machines.iter().enumerate() {
                 if zone.is_some_and(|z| z != machine.zone)
                     || touched.contains(&index)
+                    || machine.holds.iter().any(|h| h.job != wait.job)
                     || !job.may_use(machine)
                     || !job.may_enter(&job.zones, machine.zone)
                 {
@@ -117,16 +129,22 @@
                 best = Some((lost, chosen));
             }
         }
-        for (machine, victims) in best.into_iter().flat_map(|(_, chosen)| chosen) {
+        let Some((_, chosen)) = best else {
+            continue;
+        };
+        let cleared = chosen.iter().map(|(machine, _)| *machine);
+        made.cleared.push((wait.job, cleared.collect()));
+        for (machine, victims) in chosen {
             touched.insert(machine);
             for occupant in &there[&machine] {
                 if victims.contains(&occupant.id) {
-                    stops.push((occupant.id.clone(), occupant.attempt, occupant.grace_s));
+                    made.stops
+                        .push((occupant.id.clone(), occupant.attempt, occupant.grace_s));
                 }
             }
         }
     }
-    stops
+    made
 }
 
 /// The tasks of a machine whose stopping frees enough at the least loss; none where it has room.
@@ -194,6 +212,7 @@
         let late = [Waits {
             job: 0,
             start: None,
+            held: false,
         }];
         let mut trace = String::new();
         for (what, guaranteed, due) in [
@@ -215,7 +234,7 @@
                 3.0,
                 2,
             );
-            let names: Vec<&str> = stops.iter().map(|s| s.0.0.as_str()).collect();
+            let names: Vec<&str> = stops.stops.iter().map(|s| s.0.0.as_str()).collect();
             trace.push_str(&format!("{what}: stop {names:?}\n"));
         }
         insta::assert_snapshot!(trace, @r#"
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -56,7 +56,7 @@
         }
         clear_gone(node, &mut core);
         core.counts.views += cache::refresh(&mut core, &node.me, now, now_ms);
-        let mut views = views::build(node, &core, now, now_ms);
+        let mut views = views::build(node, &mut core, now, now_ms);
         // The first event waits for the first job, and is then at once.
         if !core.replica.jobs.is_empty() || !core.replica.fleet.machines.is_empty() {
             renting::service::look_ahead(node, &mut core, &views, now, now_ms);
@@ -104,9 +104,20 @@
     if waits.is_empty() {
         return;
     }
+    for wait in waits.iter().filter(|w| w.held) {
+        let job = &views.jobs[wait.job];
+        let (tasks, start) = (job.waiting.len(), wait.start);
+        tracing::debug!(
+            job = job.id,
+            tasks,
+            start,
+            due = job.due,
+            "room is set aside"
+        );
+    }
     let takes = views::STOP_TAKES_S + node.settings.params.workers.report_s;
     let used = views::team_use(node, core);
-    let stops = preempt::choose(
+    let made = preempt::choose(
         &views.jobs,
         &views.claims,
         &waits,
@@ -115,10 +126,15 @@
         takes,
         MOST_CLEARED,
     );
-    for (id, attempt, grace) in stops {
+    for (id, attempt, grace) in made.stops {
         tracing::debug!(job = id.0, task = id.1, "stopped to make room");
         stop(core, id, attempt, grace);
     }
+    for (job, machines) in made.cleared {
+        let names = machines.iter().map(|m| views.machines[*m].name.clone());
+        core.views
+            .keep_for(&views.jobs[job].id, names.collect(), now);
+    }
 }
 
 fn stop(core: &mut Core, id: crate::workers::TaskId, attempt: u64, grace: f64) {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -22,12 +22,14 @@
         cpus_per_gpu: 0.0,
         price: 1.0,
         holds: Vec::new(),
+        kept_for: None,
     }
 }
 
 pub fn job(id: &str, cpus: f64, tasks: u32, due: f64) -> JobView {
     JobView {
         id: id.into(),
+        index: 0,
         gang: false,
         need: Need {
             cpus,
@@ -45,7 +47,9 @@
         begun: 0,
         arrived: 0.0,
         guaranteed: false,
+        urgency: Urgency::Standard,
         due,
+        next_due: due,
         by: By::End,
         duration: 30.0,
         rented_in: 0.0,
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -72,6 +72,11 @@
 /// deadline, that it can still keep. One that has missed them all counts as undated: it no longer
 /// goes ahead of work that can still be in time.
 pub fn due_after(node: &Node, core: &Core, spec: &JobSpec, age: f64) -> (f64, By) {
+    dues(node, core, spec, age)[0]
+}
+
+/// All times that a job can still keep, the earliest first.
+fn dues(node: &Node, core: &Core, spec: &JobSpec, age: f64) -> Vec<(f64, By)> {
     let expected = core.duration(spec);
     let mut aims: Vec<(f64, By)> = Vec::new();
     if let Some(due) = spec.deadline_s {
@@ -96,11 +101,13 @@
         By::Start => age <= *due,
         By::End => age + expected <= *due,
     };
-    aims.into_iter()
-        .filter(can_keep)
-        .min_by(|a, b| a.0.total_cmp(&b.0))
+    aims.retain(can_keep);
+    aims.sort_by(|a, b| a.0.total_cmp(&b.0));
+    if aims.is_empty() {
         // Undated: started by arrival plus so many estimates.
-        .unwrap_or_else(|| (expected * start_by(node, spec), By::Start))
+        aims.push((expected * start_by(node, spec), By::Start));
+    }
+    aims
 }
 
 /// What each team's tasks use now, gone jobs' remaining tasks included. Only asked where a team
@@ -125,7 +132,7 @@
 }
 
 /// What the mapping works on now.
-pub fn build(node: &Node, core: &Core, now: Instant, now_ms: u64) -> Views {
+pub fn build(node: &Node, core: &mut Core, now: Instant, now_ms: u64) -> Views {
     let used = team_use(node, core);
     let silent = node.settings.params.workers.report_s * 2.0;
     let mut views = Views {
@@ -159,6 +166,7 @@
         };
         let guaranteed = within.get(&spec.team).copied().unwrap_or(false);
         view.guaranteed = guaranteed;
+        view.index = views.jobs.len();
         views.jobs.push(view);
         views.pools.push(progress.pool.clone());
         views.teams.push(spec.team.clone());
@@ -170,6 +178,7 @@
             .hopeless
             .push(failures.is_some_and(|f| f.is_everywhere()));
     }
+    core.views.mark_kept(&views.jobs, &mut views.machines, now);
     views
 }
 
@@ -187,15 +196,18 @@
     if gang && progress.placed > 0 {
         return None;
     }
-    let (due, by) = due_after(node, core, spec, age);
+    let dues = dues(node, core, spec, age);
+    let (due, by) = dues[0];
     let begun = progress.done + progress.placed;
-    let due = match begun {
-        0 => due.min(BEGIN_WITHIN_S),
-        _ => due,
+    let soonest = |due: f64| match begun {
+        0 => due.min(BEGIN_WITHIN_S) - age,
+        _ => due - age,
     };
+    let next_due = dues.get(1).map_or(BEGIN_WITHIN_S, |d| d.0);
     let failed_on = core.failures.get(&spec.id).map(|f| f.machines.clone());
     Some(JobView {
         id: spec.id.clone(),
+        index: 0,
         gang,
         need: spec.need(),
         large: progress.large,
@@ -209,7 +221,9 @@
         begun,
         arrived: -age,
         guaranteed: false,
-        due: due - age,
+        urgency: spec.urgency,
+        due: soonest(due),
+        next_due: soonest(next_due),
         by,
         duration: core.duration(spec),
         rented_in: core.kind(&progress.pool).map_or(0.0, |k| k.boot_s * BOOT),
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -39,6 +39,9 @@
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct OutlookRecord {
     pub at_ms: u64,
+    /// What it wrote of late, so that others may use what it leaves of its part.
+    #[serde(default)]
+    pub puts_per_s: f64,
     pub kinds: BTreeMap<String, Outlook>,
 }
 
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -99,6 +99,7 @@
     core.counts.steps += mapping.steps;
     let mut record = OutlookRecord {
         at_ms: now_ms,
+        puts_per_s: 0.0,
         kinds: outlooks(node, core, views, &mapping),
     };
     for (kind, outlook) in &mut record.kinds {
@@ -108,12 +109,36 @@
     }
     if due {
         core.rent.next_event = now + Duration::from_secs_f64(node.policy.period_s);
+        part_writes(node, core, now_ms);
         core.rent.tally.clear();
         note_flow(node, core, now_ms);
     }
     core.rent.outlook = Some(record);
 }
 
+/// What others leave of their part of the state service's writes goes to those who lack it: one
+/// controller may have most of the starts for a while. Each keeps its own part, and a reserve for
+/// what it may need before it publishes again.
+fn part_writes(node: &Node, core: &Core, now_ms: u64) {
+    let part = node.settings.state_share().writes;
+    let (mut spare, mut hungry) = (0.0, 1.0);
+    for (name, kept) in &core.replica.outlooks {
+        let fresh = age_s(kept.record.at_ms, now_ms) < node.policy.period_s * 2.0;
+        if *name == node.me.name || !fresh {
+            continue; // one that is not heard of may be about to need all of its part
+        }
+        let used = kept.record.puts_per_s;
+        if used > part * HUNGRY {
+            hungry += 1.0;
+        }
+        spare += (part - used * 1.25 - part * 0.15).max(0.0);
+    }
+    node.state.set_write_rate(part + spare / hungry);
+}
+
+/// From this part of its own on, a controller is taken to lack writes.
+const HUNGRY: f64 = 0.75;
+
 fn startup_grew(core: &Core, views: &Views, startup_count: u32, now: Instant) -> bool {
     let Some((at, record)) = &core.rent.published else {
         return true;
@@ -403,6 +428,8 @@
     let Some(record) = node.core().rent.outlook.take() else {
         return;
     };
+    let mut record = record;
+    record.puts_per_s = node.state.puts_rate();
     let put = Op::set(outlook_key(&node.me.name), &record);
     if let Ok(ledger) = node.state.transact(&[], std::slice::from_ref(&put)).await {
         let mut core = node.core();
@@ -610,7 +637,7 @@
             let until = Instant::now() + Duration::from_secs(20);
             core.rent.refused.insert(key, until);
         }
-        let owners = first_owners(node, &core, &record.kind, &record.zone, names.len());
+        let owners = first_owners(node, &core, record, names.len());
         let machines = names.into_iter().zip(owners);
         // A token starts at the leader's mark, and rises from there with each change of owner.
         let machines: Vec<Rented> = machines
@@ -652,21 +679,24 @@
 }
 
 /// Who gets new machines: those whose work lacks most, so that few change hands while they boot.
-fn first_owners(node: &Node, core: &Core, kind: &str, zone: &str, count: usize) -> Vec<Member> {
+fn first_owners(node: &Node, core: &Core, rental: &Rental, count: usize) -> Vec<Member> {
+    let (kind, zone, spot) = (&rental.kind, &rental.zone, rental.spot);
     let present = core.replica.present();
     let Some(shares) = core.replica.shares.as_ref() else {
         return vec![node.me.clone(); count];
     };
     let fleet = &core.replica.fleet.machines;
-    let of_kind = || fleet.values().filter(|m| m.kind == kind);
+    let of_kind = || fleet.values().filter(|m| m.kind == *kind);
     let (demand, ..) = membership::demand(node, core, &shares.record);
-    let total = of_kind().count() + count;
-    let targets = targets(&present, kind, &demand, total as f64);
+    let now = |spot: bool| of_kind().filter(|m| m.spot == spot).count();
+    let count_with = |s: bool| (now(s) + if s == spot { count } else { 0 }) as f64;
+    let targets = targets(&present, kind, &demand, count_with(true), count_with(false));
+    let targets = targets.of(spot);
     let mut have: BTreeMap<&Member, (f64, u32)> = present.iter().map(|m| (m, (0.0, 0))).collect();
-    for machine in of_kind() {
+    for machine in of_kind().filter(|m| m.spot == spot) {
         if let Some(have) = have.get_mut(&machine.owner) {
             have.0 += 1.0;
-            have.1 += u32::from(machine.zone == zone);
+            have.1 += u32::from(machine.zone == *zone);
         }
     }
     let mut owners = Vec::with_capacity(count);
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -31,6 +31,17 @@
         self.level = (self.level + passed * self.rate).min(self.rate);
     }
 
+    /// The rate from now on. What may be taken at once follows it.
+    pub fn set_rate(&mut self, rate: f64, now: Instant) {
+        self.refill(now);
+        self.rate = rate;
+        self.level = self.level.min(rate);
+    }
+
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// How many may be taken now by that need.
     pub fn available(&mut self, need: Need, now: Instant) -> f64 {
         self.refill(now);
--- a/src/state/client.rs
+++ b/src/state/client.rs
@@ -144,6 +144,8 @@
     share: StateShare,
     writes: Mutex<Budget>,
     pub used: Used,
+    /// When the rate of puts was last taken, and how many there had been.
+    rated: Mutex<(Instant, u64)>,
 }
 
 /// What this node asked of the state service, counted up.
@@ -167,6 +169,7 @@
             writes: Mutex::new(Budget::new(share.writes, Instant::now())),
             share,
             used: Used::default(),
+            rated: Mutex::new((Instant::now(), 0)),
         }
     }
 
@@ -190,7 +193,23 @@
     pub fn writes_at_ease(&self) -> f64 {
         let mut writes = self.writes.lock().unwrap();
         let left = writes.available(Need::Own, Instant::now());
-        (left / (self.share.writes * 0.8)).clamp(0.0, 1.0)
+        (left / (writes.rate() * 0.8)).clamp(0.0, 1.0)
+    }
+
+    pub fn set_write_rate(&self, rate: f64) {
+        let mut writes = self.writes.lock().unwrap();
+        writes.set_rate(rate, Instant::now());
+    }
+
+    /// Puts a second since the last call.
+    pub fn puts_rate(&self) -> f64 {
+        let now = Instant::now();
+        let puts = self.used.puts.load(Ordering::Relaxed);
+        let mut last = self.rated.lock().unwrap();
+        let (since, before) = *last;
+        *last = (now, puts);
+        let passed = now.saturating_duration_since(since).as_secs_f64();
+        (puts - before) as f64 / passed.max(0.5)
     }
 
     async fn call(
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -366,7 +366,7 @@
 
     /// The controller that places a job and ends it.
     pub fn owner_of(&self, job: &JobRecord) -> Option<&Member> {
-        self.shares.as_ref()?.record.owner(&job.spec)
+        self.shares.as_ref()?.record.owner(job)
     }
 
     /// Where the records say that a task stands; tasks of jobs that ended have pages for a while.
