--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -382,23 +382,56 @@
         let near = (job.duration * NEAR).max(SLACK);
         let class = |end: f64| (end / near) as u64;
         open.sort_by(|a, b| class(a.0).cmp(&class(b.0)).then(a.1.total_cmp(&b.1)));
-        let mut zones = Zones::new();
-        let mut places: Vec<Place> = Vec::with_capacity(size);
-        for (_, _, place) in open {
-            let zone = machines[place.machine].zone;
-            if places.len() < size && job.may_enter(&zones, zone) {
-                *zones.entry(zone).or_default() += 1;
-                places.push(place);
+        let open = || open.iter().map(|o| o.2);
+        // What is free now is taken although other machines, free a little later, would be done
+        // sooner: a gang that always waits for the next better one never starts.
+        let at_once = take_places(job, size, machines, open().filter(|p| p.start <= SLACK));
+        let patience = if at_once.is_some() {
+            job.duration * WORTH_WAITING
+        } else {
+            0.0
+        };
+        let later = take_places(job, size, machines, open());
+        for (found, handicap) in [(at_once, 0.0), (later, patience)] {
+            if let Some((end, places)) = found
+                && best.as_ref().is_none_or(|(e, _)| end + handicap < *e)
+            {
+                best = Some((end + handicap, places));
             }
         }
-        let end = places.iter().map(|p| p.end).fold(0.0, f64::max);
-        if places.len() == size && best.as_ref().is_none_or(|(e, _)| end < *e) {
-            best = Some((end, places));
-        }
     }
     best.map(|(_, places)| places)
 }
 
+/// For so much of its run time a gang does not wait where it could start.
+const WORTH_WAITING: f64 = 0.25;
+
+/// The first places that its zones allow, if there are enough, and when the gang would end there:
+/// it starts with its last task and runs as fast as its slowest machine.
+fn take_places(
+    job: &JobView,
+    size: usize,
+    machines: &[MachineView],
+    open: impl Iterator<Item = Place>,
+) -> Option<(f64, Vec<Place>)> {
+    let mut zones = Zones::new();
+    let mut places: Vec<Place> = Vec::with_capacity(size);
+    for place in open {
+        let zone = machines[place.machine].zone;
+        if places.len() < size && job.may_enter(&zones, zone) {
+            *zones.entry(zone).or_default() += 1;
+            places.push(place);
+        }
+    }
+    if places.len() < size {
+        return None;
+    }
+    let most = |of: &dyn Fn(&Place) -> f64| places.iter().map(of).fold(0.0, f64::max);
+    let ready = most(&|p| p.start) + most(&|p| p.fetch);
+    let end = ready + most(&|p| p.end - p.start - p.fetch);
+    Some((end, places))
+}
+
 #[derive(Debug, Clone, PartialEq)]
 pub struct Start {
     pub job: usize,
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -133,6 +133,7 @@
             continue;
         };
         let cleared = chosen.iter().map(|(machine, _)| *machine);
+        tracing::debug!(job = job.id, size, due = job.due, start = ?wait.start, "clearing machines");
         made.cleared.push((wait.job, cleared.collect()));
         for (machine, victims) in chosen {
             touched.insert(machine);
