Keep a waiting gang's machines the same from turn to turn; tell a cut from an outage by a worker

A kept trace (a gang of 8 machines and an array through urgent work that fills the fleet) showed that the gang never began: among machines that would be ready about the same time the fuller were chosen, so that its choice moved on as soon as some were emptied for it, and these were filled again. Now the emptiest are.

A node without the state service and the other controllers, but with its workers, kept them until cancel_s was in danger. It now sends one worker on: in an outage for all that one is sent back at once, from a cut it does not return, and the others follow it.

Tests: late copies of reports, a deaf machine, the largest array's records, work by machines with room and not by the fleet's size, large work through a stream of small.

--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -529,4 +529,51 @@
         nothing
         ");
     }
+
+    /// A record that is too large is refused for ever. The largest array there can be, started on
+    /// a thousand machines of as many rentals: each page fits a value, each transaction's guards
+    /// fit, and what does not go with this one stays planned for the next.
+    #[test]
+    fn the_largest_array_fits_its_records() {
+        let settings_value = 8 * 1024;
+        let page_len = settings_value / 48;
+        let mut core = Core::new(page_len, Instant::now());
+        let me = Member {
+            name: "me".into(),
+            incarnation: 1,
+        };
+        let job = json!({"spec": {"nameId":"job-1","grist":"c","crew":"t","shape":"array",
+            "urgency":"standard","sacks":100_000,"cpus":1.0,"cards":0.0,"memGb":1.0,"mould":"i",
+            "pullGb":1.0,"together":false,"spread":false,"borrowed":true,"grindS":10.0,
+            "bankS":0.0,"bankWriteS":0.0}, "accepted_ms": 0});
+        put(&mut core, "r/j/job-1", job, 5);
+        for n in 0..1000 {
+            let rental = rental(&format!("vm-with-a-longer-name-{n:06}"), "me", 1);
+            put(&mut core, &format!("r/m/r-1234567-{n}"), rental, 10 + n);
+        }
+        core.note_ownership(&me, Instant::now());
+        for task in 0..100_000 {
+            let machine = format!("vm-with-a-longer-name-{:06}", task % 1000);
+            let entry = Entry::Placed {
+                attempt: 3,
+                machine,
+                session: 2,
+            };
+            core.plan(&("job-1".into(), task), entry);
+        }
+        let dirty = make_up(&core, &me, 96, true, Instant::now());
+        let largest = dirty.iter().map(|d| match &d.op {
+            Op::Set { data, .. } => data.get().len(),
+            Op::Drop { .. } => 0,
+        });
+        let largest = largest.max().unwrap();
+        let guards = dirty.iter().map(|d| d.guards.len()).max().unwrap();
+        let bytes = dirty.iter().map(Dirty::bytes).max().unwrap();
+        assert!(largest <= settings_value && guards <= 96 && bytes <= MOST_BYTES);
+        let pages = dirty.len();
+        insta::assert_snapshot!(
+            format!("{pages} pages, the largest of {largest} bytes, with at most {guards} guards"),
+            @"589 pages, the largest of 3442 bytes, with at most 96 guards"
+        );
+    }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,6 +1,7 @@
 //! Who is there and who leads: a leased presence key for each node, a leased key for the leader,
 //! and the takeover of every machine by a new leader.
 
+pub mod probe;
 pub mod shares;
 
 use crate::node::{Core, Node, age_s, wall_ms};
@@ -11,6 +12,7 @@
 use crate::state::{
     Guard, LEADER_KEY, Op, SHARES_KEY, TxnError, client::ReadError, presence_key, rental_key,
 };
+use probe::Probe;
 use shares::{Demand, Member, Shared, Shares, Work, part_jobs, part_machines};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -29,6 +31,7 @@
     shared_among: BTreeSet<Member>,
     /// This node cannot hear most workers and leaves the lead to others until then.
     pub stand_back_until: Option<Instant>,
+    pub probe: Probe,
 }
 
 /// Keeps the presence lease, and stands for the lead whenever nobody holds it.
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -75,6 +75,9 @@
                 receive(&mut stream).await
             };
             let answer = tokio::time::timeout(Duration::from_millis(500), talk).await;
+            if matches!(answer, Ok(Ok(_))) {
+                *node.peers_heard.lock().unwrap() = Some(Instant::now());
+            }
             if let Ok(Ok(told)) = answer
                 && told.state_age_ms.is_some_and(|age| age < FRESH_MS)
             {
--- a/src/node.rs
+++ b/src/node.rs
@@ -50,8 +50,13 @@
     /// Placing ticks, counted as they begin and as they end.
     ticks: watch::Sender<(u64, u64)>,
     pub peers_have_state: Mutex<Option<Instant>>,
+    /// When another controller last answered at all.
+    pub peers_heard: Mutex<Option<Instant>>,
 }
 
+/// For so long no other controller has answered, each asked once a second.
+const PEERS_SILENT: Duration = Duration::from_secs(5);
+
 impl Node {
     pub fn new(settings: Settings, policy: Policy) -> Self {
         let now = Instant::now();
@@ -68,6 +73,7 @@
             stirred: Notify::new(),
             ticks: watch::Sender::new((0, 0)),
             peers_have_state: Mutex::new(None),
+            peers_heard: Mutex::new(None),
             settings,
             policy,
         }
@@ -110,13 +116,33 @@
     /// presence is over, and its machines belong to others. In an outage for all, leases stand
     /// still and the machines stay.
     pub fn is_cut_off(&self) -> bool {
+        let others = *self.peers_have_state.lock().unwrap();
         let ttl = self.settings.presence_ttl();
         let proof = self.core().standing.lease_proof;
-        let others = *self.peers_have_state.lock().unwrap();
         proof.is_none_or(|p| p.elapsed() > ttl)
             && others.is_some_and(|at| at.elapsed() < Duration::from_secs(4))
     }
 
+    /// Whether a report from this worker is answered by sending it on: it must find its new owner,
+    /// and as long as it gets a 200 it stays here.
+    pub fn sends_on(&self, machine: &str) -> bool {
+        if self.is_cut_off() {
+            return true;
+        }
+        let silent = |last: Option<Instant>| last.is_none_or(|at| at.elapsed() > PEERS_SILENT);
+        let lost_for = |d| {
+            self.core()
+                .standing
+                .lease_proof
+                .is_none_or(|p| p.elapsed() > d)
+        };
+        let alone = self.settings.params.size > 1
+            && lost_for(self.settings.presence_ttl() + PEERS_SILENT)
+            && silent(*self.peers_heard.lock().unwrap());
+        let mut core = self.core();
+        core.standing.probe.sends_on(machine, alone, Instant::now())
+    }
+
     /// Whether the state service answered lately.
     pub fn has_state(&self, within: Duration) -> bool {
         self.core().proof.is_some_and(|p| p.elapsed() <= within)
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -376,12 +376,13 @@
                     fetch,
                     end: start + fetch + job.duration * machine.slowness,
                 };
-                open.push((place.end, machine.price + machine.emptiness(), place));
+                open.push((place.end, machine.emptiness(), place));
             }
         }
-        let near = (job.duration * NEAR).max(SLACK);
-        let class = |end: f64| (end / near) as u64;
-        open.sort_by(|a, b| class(a.0).cmp(&class(b.0)).then(a.1.total_cmp(&b.1)));
+        // Among equals the emptiest: what a waiting gang has had set aside so far stays with it,
+        // or else its machines would be filled again while others are emptied for it.
+        let class = |end: f64| end.round() as u64;
+        open.sort_by(|a, b| class(a.0).cmp(&class(b.0)).then(b.1.total_cmp(&a.1)));
         let open = || open.iter().map(|o| o.2);
         // What is free now is taken although other machines, free a little later, would be done
         // sooner: a gang that always waits for the next better one never starts.
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -145,3 +145,116 @@
     ];
     insta::assert_snapshot!(show(&[picky], &machines));
 }
+
+/// A fleet played second by second: what was started ends, what arrives waits.
+struct Played {
+    machines: Vec<MachineView>,
+    jobs: Vec<(JobView, f64, f64)>,
+    begun: Vec<(String, f64)>,
+}
+
+impl Played {
+    fn add(&mut self, mut view: JobView, now: f64, begin_within: f64) {
+        view.due = begin_within;
+        view.next_due = begin_within;
+        view.by = By::Start;
+        self.jobs.push((view, now, begin_within));
+    }
+
+    fn second(&mut self, now: f64) {
+        for machine in &mut self.machines {
+            for chunk in &mut machine.chunks {
+                chunk.at = (chunk.at - 1.0).max(0.0);
+            }
+            machine.holds.clear();
+        }
+        let mut views: Vec<JobView> = self.jobs.iter().map(|j| j.0.clone()).collect();
+        for (view, (_, arrived, within)) in views.iter_mut().zip(&self.jobs) {
+            view.due = within.min(190.0) - (now - arrived);
+            view.next_due = view.due;
+            view.arrived = *arrived;
+        }
+        let out = place(&views, &mut self.machines, 2, 400);
+        for start in &out.starts {
+            let job = &mut self.jobs[start.job];
+            let waiting = job.0.waiting.iter().filter(|t| **t != start.task);
+            job.0.waiting = Arc::new(waiting.copied().collect());
+            if job.0.begun == 0 {
+                self.begun.push((job.0.id.clone(), now - job.1));
+            }
+            job.0.begun += 1;
+        }
+        self.jobs.retain(|j| !j.0.waiting.is_empty());
+    }
+}
+
+/// Nothing starves: a large gang and a large array of low urgency get through a stream of small
+/// urgent work that would fill the fleet by itself, within four minutes.
+#[test]
+fn a_large_gang_and_a_large_array_get_through_a_stream_of_urgent_work() {
+    let mut played = Played {
+        machines: (0..12)
+            .map(|n| machine(&format!("m{n}"), 0.0, 16.0))
+            .collect(),
+        jobs: Vec::new(),
+        begun: Vec::new(),
+    };
+    for now in 0..300 {
+        if now == 20 {
+            let mut gang = job("gang", 15.0, 8, 0.0);
+            gang.gang = true;
+            gang.large = true;
+            gang.one_zone = true;
+            gang.duration = 90.0;
+            gang.urgency = Urgency::BestEffort;
+            played.add(gang, 20.0, 100.0);
+            let mut array = job("array", 1.0, 400, 0.0);
+            array.urgency = Urgency::BestEffort;
+            played.add(array, 20.0, 100.0);
+        }
+        let mut small = job(&format!("small-{now}"), 1.0, 8, 0.0);
+        small.urgency = Urgency::Urgent;
+        small.duration = 24.0;
+        played.add(small, f64::from(now), 10.0);
+        played.second(f64::from(now));
+    }
+    let wait = |id: &str| played.begun.iter().find(|b| b.0 == id).map(|b| b.1);
+    let small: Vec<f64> = played
+        .begun
+        .iter()
+        .filter(|b| b.0.starts_with("small"))
+        .map(|b| b.1)
+        .collect();
+    let longest = small.iter().copied().fold(0.0, f64::max);
+    let (gang, array) = (wait("gang").unwrap(), wait("array").unwrap());
+    assert!(gang <= 240.0 && array <= 240.0);
+    insta::assert_snapshot!(format!(
+        "gang of 8 machines begins after {gang} s, array of 400 after {array} s;\n\
+         {} of 300 small jobs began, the last to wait after {longest} s",
+        small.len()
+    ), @r"
+    gang of 8 machines begins after 115 s, array of 400 after 0 s;
+    288 of 300 small jobs began, the last to wait after 40 s
+    ");
+}
+
+/// Work follows what has room, not the fleet's size: counted in machines looked at.
+#[test]
+fn placing_looks_at_machines_with_room_only() {
+    let steps = |fleet: usize| {
+        let busy = |n| machine(&format!("m{n}"), 30.0, 16.0);
+        let mut machines: Vec<MachineView> = (0..fleet).map(busy).collect();
+        for n in 0..5 {
+            machines[n * fleet / 5].chunks[0].at = 0.0;
+        }
+        let jobs: Vec<JobView> = (0..20)
+            .map(|n| job(&format!("j{n}"), 1.0, 50, 60.0))
+            .collect();
+        place(&jobs, &mut machines, 2, 400).steps
+    };
+    let (small, large) = (steps(100), steps(1000));
+    assert!(
+        large <= small * 2,
+        "{small} steps of 100 machines, {large} of 1000"
+    );
+}
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -37,8 +37,7 @@
         Some(owner) => return elsewhere(Some(&owner.name)),
         None => return greet_unknown(node),
     }
-    if node.is_cut_off() {
-        // The worker must find its new owner: as long as we answer 200 it stays with us.
+    if node.sends_on(&report.machine) {
         return elsewhere(None);
     }
     // Without proof of state contact a cancellation may have passed us by: keeping the worker's
@@ -245,3 +244,6 @@
         core.rent.to_return.push(machine.to_owned());
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/workers/service/tests.rs
@@ -0,0 +1,184 @@
+//! Kept traces of reports as they come, early, late or from a machine that hears nothing.
+
+use super::*;
+use crate::fleet::{Rental, Rented, Use};
+use crate::membership::shares::Member;
+use crate::policy::Policy;
+use crate::settings::Settings;
+use crate::state::{Op, rental_key};
+use serde_json::{Value, json};
+
+struct Scene {
+    node: Node,
+    start: Instant,
+    mark: u64,
+    trace: String,
+}
+
+fn settings() -> Settings {
+    let settings = json!({"member": "millstone-0", "site": "a", "api_addr": "127.0.0.1:1",
+        "mesh_addr": "127.0.0.1:2", "known": [],
+        "endpoints": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+        "params": {"size": 1, "zones": ["a"], "teams": [{"name": "t"}],
+            "workers": {"report_s": 1.5, "lease_s": 11.0, "gang_wait_s": 5.0,
+                "gang_peer_s": 2.0, "cancel_s": 36.0},
+            "state": {"rps": 80.0, "write_rps": 30.0, "value_kb": 8.0, "txn_ops": 24},
+            "cloud": {"rps": 8.0, "list_lag_s": 4.0},
+            "limits": {"core_share": 1.0, "mem_mb": 72.0, "sockets": 500}, "skew_ms": 25.0}});
+    Settings::parse(&settings.to_string(), "test").unwrap()
+}
+
+impl Scene {
+    fn new() -> Self {
+        let scene = Self {
+            node: Node::new(settings(), Policy::default()),
+            start: Instant::now(),
+            mark: 10,
+            trace: String::new(),
+        };
+        let job = json!({"spec": {"nameId":"job-1","grist":"c","crew":"t","shape":"array",
+            "urgency":"standard","sacks":4,"cpus":1.0,"cards":0.0,"memGb":1.0,"mould":"i",
+            "pullGb":1.0,"together":false,"spread":false,"borrowed":true,"grindS":10.0,
+            "bankS":0.0,"bankWriteS":0.0}, "accepted_ms": 0});
+        scene.put("r/j/job-1", job, 5);
+        scene
+    }
+
+    fn put(&self, key: &str, data: Value, mark: u64) {
+        let mut core = self.node.core();
+        core.replica.put(key, &data.to_string(), mark);
+    }
+
+    /// vm-1 belongs to this node, or to another, under that token.
+    fn owner(&mut self, ours: bool, token: u64) {
+        let other = Member {
+            name: "millstone-1".into(),
+            incarnation: 1,
+        };
+        let rental = Rental {
+            kind: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            count: 1,
+            hired_ms: 0,
+            open: false,
+            machines: vec![Rented {
+                name: "vm-1".into(),
+                owner: if ours { self.node.me.clone() } else { other },
+                token,
+                state: Use::Open,
+            }],
+        };
+        self.mark += 1;
+        let mut core = self.node.core();
+        core.apply(vec![Op::set(rental_key("r-1"), &rental)], self.mark);
+        let me = self.node.me.clone();
+        core.note_ownership(&me, self.start);
+        self.trace.push_str(&format!(
+            "-- token {token}, {}\n",
+            if ours { "ours" } else { "another's" }
+        ));
+    }
+
+    /// The records place job-1/0 on vm-1.
+    fn placed(&mut self, attempt: u64, session: u64) {
+        self.mark += 1;
+        self.put(
+            "r/p/job-1/0",
+            json!([[attempt, "vm-1", session]]),
+            self.mark,
+        );
+        self.trace.push_str(&format!(
+            "-- attempt {attempt} recorded in session {session}\n"
+        ));
+    }
+
+    fn report(&mut self, at_s: u64, session: u64, seq: u64, token: u64, tasks: Value) {
+        let report: Report = serde_json::from_value(json!({"millstone": "vm-1", "endpoint": "",
+            "stone": "m", "yard": "a", "shift": session, "tally": seq, "warrant": token,
+            "sacks": tasks}))
+        .unwrap();
+        let now = self.start + Duration::from_secs(at_s);
+        let mut core = self.node.core();
+        let taken = take(&self.node, &mut core, &report, now);
+        let what = match taken {
+            Taken::NotOurs => "not ours".to_owned(),
+            Taken::Late => "late, changes nothing".to_owned(),
+            Taken::Read { answer, .. } => {
+                let orders = serde_json::to_string(&answer.orders).unwrap();
+                format!("token {} orders {orders}", answer.token)
+            }
+        };
+        let live = core.workers.live.get("vm-1");
+        let seen = live.map_or("unknown".to_owned(), |l| {
+            let heard = l.heard.saturating_duration_since(self.start).as_secs();
+            let deaf = if l.deaf.is_some() { ", deaf" } else { "" };
+            let ready = if l.confirmed {
+                ""
+            } else {
+                ", not to be placed on"
+            };
+            format!("heard at {heard} s{ready}{deaf}")
+        });
+        let planned = core.plans.get("job-1", 0);
+        let planned = planned.map_or(String::new(), |p| format!("; to record: {p:?}"));
+        let line =
+            format!("{at_s} s session {session} #{seq} token {token}: {what}; {seen}{planned}\n");
+        drop(core);
+        self.trace.push_str(&line);
+    }
+}
+
+fn running(attempt: u64) -> Value {
+    json!([{"sack": "job-1/0", "turn": attempt, "stage": "running"}])
+}
+
+/// Rule `ran_twice`: a copy of a report from before a start would prove the task absent; one from
+/// before a change of owner would bring a dead machine back.
+#[test]
+fn late_copies_prove_nothing() {
+    let mut scene = Scene::new();
+    scene.owner(true, 7);
+    scene.report(1, 1, 1, 0, json!([]));
+    scene.report(2, 1, 2, 7, json!([]));
+    scene.placed(1, 1);
+    scene.report(4, 1, 3, 7, json!([]));
+    scene.report(6, 1, 4, 7, running(1));
+    // A copy of #3, and one of #4 itself: no news, and no sign of life.
+    scene.report(9, 1, 3, 7, json!([]));
+    scene.report(10, 1, 4, 7, running(1));
+    // A copy that comes long after the session ended.
+    scene.report(20, 2, 9, 7, json!([]));
+    scene.report(45, 1, 4, 7, running(1));
+    // Another's for a while, then ours again: what was seen before is void, and the copy from
+    // then shows a machine that does not know our token.
+    scene.owner(false, 8);
+    scene.report(46, 2, 12, 7, json!([]));
+    scene.owner(true, 9);
+    scene.placed(2, 2);
+    scene.report(50, 2, 12, 7, json!([]));
+    scene.report(51, 2, 13, 9, running(2));
+    insta::assert_snapshot!(scene.trace);
+}
+
+/// A machine whose reports arrive and which hears nothing: it must not be counted on, and what was
+/// recorded there starts elsewhere only once its lease has provably ended.
+#[test]
+fn a_deaf_machine_is_known_by_what_it_does_not_do() {
+    let mut scene = Scene::new();
+    scene.owner(true, 7);
+    scene.report(1, 1, 1, 0, json!([]));
+    scene.report(2, 1, 2, 7, json!([]));
+    scene.placed(1, 1);
+    for n in 0..8 {
+        scene.report(3 + n * 2, 1, 3 + n, 7, json!([]));
+    }
+    scene.report(19, 2, 12, 7, json!([]));
+    // One that never heard us at all.
+    let mut other = Scene::new();
+    other.owner(true, 7);
+    for n in 0..3 {
+        other.report(1 + n * 5, 1, 1 + n, 0, json!([]));
+    }
+    insta::assert_snapshot!(format!("{}never heard us\n{}", scene.trace, other.trace));
+}
