Use GPU machines that GPU work does not need; rent another kind where one is used up

GPU machines beyond 1.2 times what GPU work needs are open to any work, and serve their purpose with it; where the cloud has no more of a kind, late work that may run on the next one rents that, up to `dearer` times the price (2, operators may change it).

--- a/src/node.rs
+++ b/src/node.rs
@@ -198,7 +198,8 @@
     /// Whether a machine has work of the sort that it was rented for: on one with GPUs, work
     /// without does not count, which would keep it at many times the price of its CPUs.
     pub fn serves_its_purpose(&self, name: &str, kind: &str) -> bool {
-        let needs_gpus = self.kind(kind).is_some_and(|k| k.gpus > 0.0);
+        let open = self.views.opened.contains(name);
+        let needs_gpus = !open && self.kind(kind).is_some_and(|k| k.gpus > 0.0);
         let on = self.replica.on.get(name).into_iter().flatten();
         on.filter_map(|(job, _)| self.replica.jobs.get(job))
             .any(|job| !needs_gpus || job.record.spec.gpus > 0.0)
--- a/src/placement/cache.rs
+++ b/src/placement/cache.rs
@@ -35,6 +35,10 @@
     pub large: bool,
     /// The part of a machine that a task fills.
     pub share: f64,
+    /// The next kind that it may run on, and the part of it that a task fills.
+    pub next_kind: Option<(String, f64)>,
+    /// It needs GPUs.
+    pub gpus: bool,
 }
 
 /// A machine of ours that may be placed on.
@@ -59,6 +63,8 @@
     /// Machines being cleared for a job, and until when nothing else may go there. Without this,
     /// what was stopped for a gang would be placed again while its last machine is cleared.
     kept: HashMap<String, (Vec<Arc<str>>, Instant)>,
+    /// GPU machines that work without GPUs may fill: more than GPU work needs.
+    pub opened: HashSet<String>,
 }
 
 /// A task that runs on past its time takes about this part of what it has run: the owners'
@@ -66,6 +72,9 @@
 /// the machine of one such task, and all their others idle.
 const OVERDUE: f64 = 0.35;
 
+/// GPU machines beyond so many times what GPU work needs are spare.
+const SPARE_BEYOND: f64 = 1.2;
+
 /// How long machines are kept for a job that they are cleared for: stopping takes a report or
 /// two, and a save its time.
 const KEPT_FOR: Duration = Duration::from_secs(10);
@@ -83,7 +92,34 @@
             shares_mark: 0,
             kinds_known: 0,
             kept: HashMap::new(),
+            opened: HashSet::new(),
+        }
+    }
+
+    /// Opens the GPU machines that GPU work does not need to work without GPUs: they are paid for
+    /// in any case until they go back, and where the other kinds are used up they were rented for
+    /// it. Those that are open already come first, then spot machines.
+    fn open_spare(&mut self, kinds: &[Kind]) {
+        let mut opened = HashSet::new();
+        for kind in kinds.iter().filter(|k| k.gpus > 0.0) {
+            let number = self.names.number(&kind.name);
+            let needed: f64 = self
+                .jobs
+                .values()
+                .filter(|p| p.gpus && p.pool == kind.name)
+                .map(|p| (p.waiting.len() as f64 + f64::from(p.placed)) * p.share)
+                .sum();
+            let machines = self.machines.iter();
+            let of_kind = machines.filter(|(_, seen)| seen.view.kind == number);
+            let mut of_kind: Vec<(&String, &Seen)> = of_kind.collect();
+            let spare = of_kind.len() as f64 - needed * SPARE_BEYOND - 2.0;
+            of_kind.retain(|(_, seen)| seen.free.gpus >= kind.gpus - 1e-6);
+            let before = &self.opened;
+            of_kind.sort_by_key(|(name, seen)| (!before.contains(*name), !seen.view.spot));
+            let names = of_kind.into_iter().map(|(name, _)| name.clone());
+            opened.extend(names.take(spare.max(0.0) as usize));
         }
+        self.opened = opened;
     }
 
     pub fn keep_for(&mut self, job: &str, machines: Vec<Arc<str>>, now: Instant) {
@@ -116,6 +152,9 @@
         let seen = self.machines.values().filter(heard);
         seen.map(|seen| {
             let mut view = seen.view.clone();
+            if self.opened.contains(&*view.name) {
+                view.cpus_per_gpu = 0.0;
+            }
             let up_in = match seen.heard {
                 Some(_) => (seen.up_at - at).max(0.0),
                 None => (seen.up_at - at).max(ANY_MOMENT_S),
@@ -174,6 +213,7 @@
             }
         }
     }
+    cache.open_spare(&core.kinds);
     core.views = cache;
     (machines.len() + jobs.len()) as u64
 }
@@ -198,6 +238,12 @@
     out.waiting = Arc::new(waiting);
     let kinds = kinds_for(core, spec);
     out.kinds = kinds.iter().map(|k| names.number(k)).collect();
+    let share_of = |name: &str| {
+        let kind = core.kind(name)?;
+        Some((name.to_owned(), spec.need().share(&room_of(kind))))
+    };
+    out.next_kind = kinds.get(1).and_then(|name| share_of(name));
+    out.gpus = spec.gpus > 0.0;
     out.pool = kinds.into_iter().next().unwrap_or_default();
     out.image = names.number(&spec.image);
     out.zone = spec.zone.as_ref().map(|z| names.number(z));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -62,13 +62,14 @@
     }
 }
 
-const SETTINGS: [Setting; 9] = [
+const SETTINGS: [Setting; 10] = [
     number("alpha", About::Kind, 0.0, 1.0),
     number("beta", About::Kind, 0.001, 1.0),
     number("theta", About::Kind, 0.1, 1000.0),
     number("k", About::Kind, 0.1, 100.0),
     number("period", About::Nothing, 1.0, 600.0),
     number("hold", About::Machine, 0.0, 86400.0),
+    number("dearer", About::Kind, 0.0, 1000.0),
     number("startup_count", About::Nothing, 0.0, 1000.0),
     number("start_by", About::Job, 0.0, 10000.0),
     Setting {
@@ -184,6 +185,11 @@
         }
     }
 
+    /// How many times its own price may be paid for another kind, when there is no more of it.
+    pub fn dearer(&self, kind: &KindFacts<'_>) -> f64 {
+        self.number("dearer", &kind.values())
+    }
+
     pub fn hold_s(&self, kind: &KindFacts<'_>, zone: &str, spot: bool) -> f64 {
         self.number("hold", &kind.values_of_machine(zone, spot))
     }
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -28,6 +28,10 @@
     /// Machines that the late tasks would fill, and how many of these may be spot machines.
     pub wanted: f64,
     pub wanted_spot: f64,
+    /// Of another kind, by its name, that the late tasks may run on too: how many machines of it
+    /// they would fill.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub wanted_else: BTreeMap<String, f64>,
     /// Tasks that came and that finished since the last event.
     pub arrived: u32,
     pub finished: u32,
@@ -57,6 +61,9 @@
         self.booting += other.booting;
         self.wanted += other.wanted;
         self.wanted_spot += other.wanted_spot;
+        for (kind, wanted) in &other.wanted_else {
+            *self.wanted_else.entry(kind.clone()).or_default() += wanted;
+        }
         self.arrived += other.arrived;
         self.finished += other.finished;
         self.held.extend(other.held.iter().cloned());
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -22,6 +22,18 @@
     pub count: u32,
     /// How many of them may be spot machines.
     pub spot: u32,
+    /// None of them may be an ordinary one.
+    pub spot_only: bool,
+    /// What may be rented instead if there is no more of it.
+    pub instead: Vec<Instead>,
+}
+
+/// Machines of another kind.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Instead {
+    pub kind: String,
+    pub count: u32,
+    pub spot_only: bool,
 }
 
 /// Counts since the last event, per kind of machine.
@@ -210,6 +222,11 @@
         pool.wanted += machines;
         if job.spot {
             pool.wanted_spot += machines;
+            let next = core.views.jobs.get(&job.id).and_then(|p| p.next_kind.as_ref());
+            if let Some((other, share)) = next {
+                let machines = share * f64::from(mapped.helped) / turns;
+                *pool.wanted_else.entry(other.clone()).or_default() += machines;
+            }
         }
     }
     pools
@@ -259,7 +276,7 @@
                 // Booting machines took part in the mapping: what is late is late despite them.
                 let count = n.min(outlook.wanted.ceil() as u32);
                 if count > 0 {
-                    wish(core, &kind, &outlook, count);
+                    wish(node, core, &kind, &outlook, count);
                 }
             }
             Verdict::Return => {
@@ -359,7 +376,7 @@
             count,
             "renting by the remedial rule"
         );
-        wish(core, &kind, &outlook, count);
+        wish(node, core, &kind, &outlook, count);
     }
 }
 
@@ -373,16 +390,32 @@
         .count() as u32
 }
 
-fn wish(core: &mut Core, kind: &str, outlook: &Outlook, count: u32) {
+fn wish(node: &Node, core: &mut Core, kind: &str, outlook: &Outlook, count: u32) {
     // What the late tasks allow decides how many may be spot machines.
     let share = match outlook.wanted > 0.0 {
         true => outlook.wanted_spot / outlook.wanted,
         false => 0.0,
     };
+    let dearest = facts(core, kind, outlook).map_or(0.0, |f| node.policy.dearer(&f) * f.price);
+    let instead = outlook.wanted_else.iter().filter_map(|(other, wanted)| {
+        let other = core.kind(other)?;
+        let least = match other.spot_price > 0.0 {
+            true => other.spot_price.min(other.price),
+            false => other.price,
+        };
+        (least <= dearest).then(|| Instead {
+            kind: other.name.clone(),
+            count: count.min(wanted.ceil() as u32),
+            spot_only: other.price > dearest,
+        })
+    });
+    let instead = instead.collect();
     core.rent.wishes.push(Wish {
         kind: kind.to_owned(),
         count,
         spot: (f64::from(count) * share).round() as u32,
+        spot_only: false,
+        instead,
     });
 }
 
@@ -497,6 +530,13 @@
 /// Rents what is wished for: offers are tried cheapest first, then where the fewest machines are.
 async fn fulfil(node: &Arc<Node>, mark: u64) {
     let wishes = std::mem::take(&mut node.core().rent.wishes);
+    let more = fulfil_wishes(node, mark, wishes).await;
+    fulfil_wishes(node, mark, more).await;
+}
+
+/// Returns what to wish for instead of what is not to be had.
+async fn fulfil_wishes(node: &Arc<Node>, mark: u64, wishes: Vec<Wish>) -> Vec<Wish> {
+    let mut more = Vec::new();
     for wish in wishes {
         let mut left = wish.count;
         let mut spot_left = wish.spot;
@@ -507,7 +547,11 @@
             if at == 0 || offers[at - 1].1 != spot {
                 zones_left = offers[at..].iter().filter(|o| o.1 == spot).count();
             }
-            let count = if spot { left.min(spot_left) } else { left };
+            let count = match spot {
+                true => left.min(spot_left),
+                false if wish.spot_only => 0,
+                false => left,
+            };
             if count == 0 {
                 continue;
             }
@@ -539,8 +583,23 @@
         }
         if left > 0 {
             tracing::info!(kind = wish.kind, left, "the cloud has no more of it now");
+            // The paper has one kind of machine. Where a kind's own is used up, work that may run
+            // on another is better late on that one than not at all.
+            for instead in &wish.instead {
+                let count = instead.count.min(left);
+                if count > 0 {
+                    more.push(Wish {
+                        kind: instead.kind.clone(),
+                        count,
+                        spot: count,
+                        spot_only: instead.spot_only,
+                        instead: Vec::new(),
+                    });
+                }
+            }
         }
     }
+    more
 }
 
 fn offers(node: &Node, wish: &Wish) -> Vec<(String, bool)> {
