Let one overdue job in two or four go first, not all of them

One in two of a class's largest and one in four of the others goes first at 190 s now, the rest so many times later; half of the largest still begin within four minutes.

--- a/src/membership/shares.rs
+++ b/src/membership/shares.rs
@@ -40,7 +40,7 @@
 const PER_GANGS: usize = 4;
 
 /// The same in each process and version: FNV-1a.
-fn spot_of(id: &str) -> usize {
+pub fn spot_of(id: &str) -> usize {
     let hash = id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
     });
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -93,17 +93,6 @@
     waits: &[now::Waits],
     now: Instant,
 ) {
-    let running = core.replica.jobs.values().filter(|j| j.placed > 0);
-    let lowest = running.map(|j| j.record.spec.urgency).min();
-    let lowest = lowest.unwrap_or(Urgency::Critical);
-    let may = |wait: &&now::Waits| {
-        let claim = &views.claims[wait.job];
-        claim.guaranteed || claim.urgency > lowest
-    };
-    let waits: Vec<now::Waits> = waits.iter().filter(may).cloned().collect();
-    if waits.is_empty() {
-        return;
-    }
     for wait in waits.iter().filter(|w| w.held) {
         let job = &views.jobs[wait.job];
         let (tasks, start) = (job.waiting.len(), wait.start);
@@ -115,6 +104,17 @@
             "room is set aside"
         );
     }
+    let running = core.replica.jobs.values().filter(|j| j.placed > 0);
+    let lowest = running.map(|j| j.record.spec.urgency).min();
+    let lowest = lowest.unwrap_or(Urgency::Critical);
+    let may = |wait: &&now::Waits| {
+        let claim = &views.claims[wait.job];
+        claim.guaranteed || claim.urgency > lowest
+    };
+    let waits: Vec<now::Waits> = waits.iter().filter(may).cloned().collect();
+    if waits.is_empty() {
+        return;
+    }
     let takes = views::STOP_TAKES_S + node.settings.params.workers.report_s;
     let used = views::team_use(node, core);
     let made = preempt::choose(
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -4,6 +4,7 @@
 use super::preempt::{Claim, Occupant};
 use super::{By, JobView, MachineView, Need};
 use crate::jobs::{Entry, JobSpec, Shape};
+use crate::membership::shares::spot_of;
 use crate::node::{Core, Node, age_s};
 use crate::policy::JobFacts;
 use std::collections::HashMap;
@@ -11,9 +12,25 @@
 
 /// From a decision to stop a task until its room is free: a report, and a record.
 pub const STOP_TAKES_S: f64 = 2.0;
-/// A job that has not begun is due this soon after its arrival, whatever its class's aims say or
-/// have come to: urgency and deadlines order the rest, but nothing starves.
+/// A job that has not begun goes before all others this long after its arrival, whatever its
+/// class's aims say or have come to: urgency and deadlines order the rest, but nothing starves.
 const BEGIN_WITHIN_S: f64 = 190.0;
+/// Under lasting overload every job would come to be overdue, and none would be in time if the
+/// overdue always went first. So of the largest of a class one in two goes first then, of the
+/// others one in four; the rest so many times later.
+const LARGEST_IN: usize = 2;
+const OTHERS_IN: usize = 4;
+
+/// From this part of its class's largest job on, a job counts among the largest.
+const LARGEST_PART: f64 = 0.5;
+
+fn begin_within(spec: &JobSpec, size: f64, largest: f64) -> f64 {
+    let one_in = match size >= largest * LARGEST_PART {
+        true => LARGEST_IN,
+        false => OTHERS_IN,
+    };
+    BEGIN_WITHIN_S * (1 + spot_of(&spec.id) % one_in) as f64
+}
 
 pub struct Views {
     pub jobs: Vec<JobView>,
@@ -145,6 +162,15 @@
         hopeless: Vec::new(),
     };
     let within = within_guarantee(node, core);
+    let mut largest: HashMap<String, f64> = HashMap::new();
+    for (id, progress) in &core.views.jobs {
+        if let Some(job) = core.replica.jobs.get(id) {
+            let spec = &job.record.spec;
+            let size = f64::from(spec.tasks) * progress.share;
+            let most = largest.entry(spec.class.clone()).or_default();
+            *most = most.max(size);
+        }
+    }
     for (id, progress) in &core.views.jobs {
         if progress.waiting.is_empty() || progress.pool.is_empty() {
             continue;
@@ -161,7 +187,10 @@
         }
         let spec = &job.record.spec;
         let age = age_s(job.record.accepted_ms, now_ms);
-        let Some(mut view) = job_view(node, core, spec, progress, &views.team_room, age) else {
+        let size = f64::from(spec.tasks) * progress.share;
+        let begin = begin_within(spec, size, largest[&spec.class]);
+        let Some(mut view) = job_view(node, core, spec, progress, &views.team_room, (age, begin))
+        else {
             continue;
         };
         let guaranteed = within.get(&spec.team).copied().unwrap_or(false);
@@ -188,7 +217,7 @@
     spec: &JobSpec,
     progress: &Progress,
     rooms: &HashMap<String, Need>,
-    age: f64,
+    (age, begin_within): (f64, f64),
 ) -> Option<JobView> {
     // A gang restarts only when every task of the attempt before is gone; one that completed
     // only needs its other tasks to report the same.
@@ -200,10 +229,10 @@
     let (due, by) = dues[0];
     let begun = progress.done + progress.placed;
     let soonest = |due: f64| match begun {
-        0 => due.min(BEGIN_WITHIN_S) - age,
+        0 => due.min(begin_within) - age,
         _ => due - age,
     };
-    let next_due = dues.get(1).map_or(BEGIN_WITHIN_S, |d| d.0);
+    let next_due = dues.get(1).map_or(begin_within, |d| d.0);
     let failed_on = core.failures.get(&spec.id).map(|f| f.machines.clone());
     Some(JobView {
         id: spec.id.clone(),
