Merge small rentals, take over at once, and send no worker to a controller that is gone

Their workers asked the dead controller again and again, since every other one named it.

Once a rental's machines are surely up, the leader moves those of several small ones into one record; a takeover writes ten records at once whatever the leader's part of the writes; a worker whose owner is not there is told no name. A test merges in both orders.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -162,7 +162,7 @@
         if let Some(old) = self.rentals.remove(name) {
             for machine in old.record.machines {
                 if !record.machines.iter().any(|m| m.name == machine.name) {
-                    self.forget(machine.name);
+                    self.forget(name, machine.name);
                 }
             }
         }
@@ -191,12 +191,20 @@
         }
         if let Some(old) = self.rentals.remove(name) {
             for machine in old.record.machines {
-                self.forget(machine.name);
+                self.forget(name, machine.name);
             }
         }
     }
 
-    fn forget(&mut self, machine: String) {
+    /// A machine left a rental's record: it is gone, unless another record has it by now.
+    fn forget(&mut self, rental: &str, machine: String) {
+        if self
+            .machines
+            .get(&machine)
+            .is_some_and(|m| m.rental != rental)
+        {
+            return;
+        }
         self.machines.remove(&machine);
         self.changed.push(machine.clone());
         if self.gone.insert(machine.clone()) {
@@ -315,6 +323,32 @@
         ");
     }
 
+    /// Rentals are merged in one transaction, whose changes may come in any order: a machine that
+    /// seemed gone for a moment would have its tasks placed again.
+    #[test]
+    fn a_merged_rental_keeps_its_machines_whatever_comes_first() {
+        let (mut small, mut other) = (rental(1, 4), rental(1, 4));
+        small.machines[0].name = "vm-1".into();
+        other.machines[0].name = "vm-2".into();
+        let mut merged = small.clone();
+        merged.machines.extend(other.machines.clone());
+        for set_first in [true, false] {
+            let mut fleet = Fleet::default();
+            fleet.put("r-1", small.clone(), 5);
+            fleet.put("r-2", other.clone(), 6);
+            if set_first {
+                fleet.put("r-1", merged.clone(), 9);
+                fleet.remove("r-2", 9);
+            } else {
+                fleet.remove("r-2", 9);
+                fleet.put("r-1", merged.clone(), 9);
+            }
+            assert_eq!(fleet.machines.len(), 2);
+            assert_eq!(fleet.machines["vm-2"].rental, "r-1");
+            assert_eq!(fleet.rentals.len(), 1);
+        }
+    }
+
     #[test]
     fn a_change_of_owner_is_one_record_and_what_left_is_remembered() {
         let mut fleet = Fleet::default();
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -305,6 +305,9 @@
 /// recorded.
 const MOST_RECORDS: usize = 4;
 
+/// Records that a takeover may write at once, whatever this node's part of the writes.
+const TAKEOVER_RECORDS: usize = 10;
+
 /// The leader's duty: everything belongs to a controller that is there, and machines follow the
 /// work. A machine that changes hands has a higher token, so that whatever its old owner still
 /// sends fails on its guards, and the worker drops the old owner's answers.
@@ -350,8 +353,9 @@
         .map(|(name, to)| (name.as_str(), to))
         .collect();
     let most = match orphaned {
-        // A takeover may use what is kept back for users: until it is done nobody's tasks start.
-        true => most.min(node.state.writes_left(Budget::User).max(1)),
+        // Until a takeover is done its workers' leases run out and nobody's tasks start: it may use
+        // what is kept back for users, and what the absent controllers do not write.
+        true => most.min(node.state.writes_left(Budget::User).max(TAKEOVER_RECORDS)),
         false => MOST_RECORDS.min(node.state.writes_left(Budget::Own)),
     };
     let mut moved = 0;
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -10,6 +10,7 @@
 use crate::placement::forecast::{Forecast, forecast};
 use crate::placement::views::{Views, kinds_for, room_of};
 use crate::policy::KindFacts;
+use crate::state::replica::Kept;
 use crate::state::{Guard, LEADER_KEY, Op, outlook_key, rental_key};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -70,6 +71,8 @@
     pub tally: HashMap<String, Tally>,
     pub flow: HashMap<String, Flow>,
     pub rented_in_all: u32,
+    /// When the leader last looked for small rentals to merge.
+    merged_at: Option<Instant>,
     /// To be published: what this node expects.
     pub outlook: Option<OutlookRecord>,
     pub published: Option<(Instant, OutlookRecord)>,
@@ -91,6 +94,7 @@
             tally: HashMap::new(),
             flow: HashMap::new(),
             rented_in_all: 0,
+            merged_at: None,
             outlook: None,
             published: None,
         }
@@ -222,7 +226,11 @@
         pool.wanted += machines;
         if job.spot {
             pool.wanted_spot += machines;
-            let next = core.views.jobs.get(&job.id).and_then(|p| p.next_kind.as_ref());
+            let next = core
+                .views
+                .jobs
+                .get(&job.id)
+                .and_then(|p| p.next_kind.as_ref());
             if let Some((other, share)) = next {
                 let machines = share * f64::from(mapped.helped) / turns;
                 *pool.wanted_else.entry(other.clone()).or_default() += machines;
@@ -491,6 +499,7 @@
         close_machines(&node).await;
         if let Some(mark) = membership::lead_mark(&node) {
             lead_event(&node);
+            merge_rentals(&node, mark).await;
             mark_returning(&node, mark).await;
             resend_hires(&node, mark).await;
             fulfil(&node, mark).await;
@@ -898,6 +907,87 @@
     recorded
 }
 
+/// Rentals of a few machines each would make a takeover cost as many puts as one of machine keys.
+/// Now and then the leader moves the machines of such rentals, once all are surely up, into one
+/// record: a put, and the drops that their ends would cost in any case.
+async fn merge_rentals(node: &Arc<Node>, mark: u64) {
+    let now = Instant::now();
+    let now_ms = wall_ms();
+    let (into, others) = {
+        let mut core = node.core();
+        let due = core.rent.merged_at.is_none_or(|at| now >= at + MERGE_EVERY);
+        if !due || node.state.writes_at_ease() < 0.5 {
+            return;
+        }
+        core.rent.merged_at = Some(now);
+        let most = most_hired(node.settings.value_bytes());
+        let settled = |rental: &Rental| {
+            let boot = core.kind(&rental.kind).map_or(60.0, |k| k.boot_s);
+            !rental.open && age_s(rental.hired_ms, now_ms) > boot * 3.0 + 20.0
+        };
+        let mut groups: BTreeMap<(&str, &str, bool), Vec<(&String, &Kept<Rental>)>> =
+            BTreeMap::new();
+        for (name, kept) in &core.replica.fleet.rentals {
+            let rental = &kept.record;
+            if settled(rental) {
+                let group = (rental.kind.as_str(), rental.zone.as_str(), rental.spot);
+                groups.entry(group).or_default().push((name, kept));
+            }
+        }
+        let Some(group) = groups.values_mut().max_by_key(|g| g.len()) else {
+            return;
+        };
+        group.sort_by_key(|(_, kept)| std::cmp::Reverse(kept.record.machines.len()));
+        let mut size = 0;
+        let mut taken = Vec::new();
+        for (name, kept) in group.iter() {
+            if taken.len() < MOST_MERGED && size + kept.record.machines.len() <= most {
+                size += kept.record.machines.len();
+                taken.push(((*name).clone(), (*kept).clone()));
+            }
+        }
+        if taken.len() < 3 {
+            return;
+        }
+        (taken.remove(0), taken)
+    };
+    let (name, kept) = into;
+    let mut record = kept.record;
+    let mut guards = vec![
+        guard(mark),
+        Guard {
+            k: rental_key(&name),
+            mark: kept.mark,
+        },
+    ];
+    let mut ops = Vec::new();
+    for (other, kept) in others {
+        record.machines.extend(kept.record.machines);
+        record.hired_ms = record.hired_ms.max(kept.record.hired_ms);
+        guards.push(Guard {
+            k: rental_key(&other),
+            mark: kept.mark,
+        });
+        ops.push(Op::drop(rental_key(&other)));
+    }
+    record.count = record.machines.len() as u32;
+    // The new record first: a machine is gone when no record lists it.
+    ops.insert(0, Op::set(rental_key(&name), &record));
+    match node.state.transact(&guards, &ops).await {
+        Ok(ledger) => {
+            tracing::debug!(name, machines = record.count, "rentals merged");
+            node.core().apply(ops, ledger);
+        }
+        Err(_) => {
+            node.sync().await;
+        }
+    }
+}
+
+const MERGE_EVERY: Duration = Duration::from_secs(3);
+/// Most rentals merged at a time.
+const MOST_MERGED: usize = 6;
+
 async fn mark_returning(node: &Arc<Node>, mark: u64) {
     let names = std::mem::take(&mut node.core().rent.to_return);
     if names.is_empty() || membership::lead_mark(node) != Some(mark) {
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -4,6 +4,7 @@
 use crate::api::{Answer, come_back, error, json};
 use crate::jobs::Entry;
 use crate::membership;
+use crate::membership::shares::Member;
 use crate::node::{Core, Node, wall_ms};
 use crate::workers::wire;
 use hyper::StatusCode;
@@ -28,7 +29,17 @@
         let mut core = node.core();
         core.counts.reports += 1;
         let machine = core.replica.fleet.machines.get(&report.machine);
-        machine.map(|m| m.owner.clone())
+        let owner = machine.map(|m| m.owner.clone());
+        let there = |m: &Member| {
+            let presence = core.replica.presence.get(&m.name);
+            presence.is_some_and(|p| p.record.incarnation == m.incarnation)
+        };
+        // One that is not there takes seconds to say so; its worker's lease is better spent on
+        // asking the others until the machine has a new owner.
+        if owner.as_ref().is_some_and(|m| *m != node.me && !there(m)) {
+            return elsewhere(None);
+        }
+        owner
     };
     match owner {
         Some(owner) if owner == node.me => {}
--- a/src/workers/service/tests.rs
+++ b/src/workers/service/tests.rs
@@ -2,7 +2,6 @@
 
 use super::*;
 use crate::fleet::{Rental, Rented, Use};
-use crate::membership::shares::Member;
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::state::{Op, rental_key};
