--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -59,7 +59,7 @@
         let mut views = views::build(node, &mut core, now, now_ms);
         // The first event waits for the first job, and is then at once.
         if !core.replica.jobs.is_empty() || !core.replica.fleet.machines.is_empty() {
-            renting::service::look_ahead(node, &mut core, &views, now, now_ms);
+            renting::decide::look_ahead(node, &mut core, &views, now, now_ms);
         }
         if !views.jobs.is_empty() {
             let startup = node.policy.startup_count;
--- /dev/null
+++ b/src/renting/decide.rs
@@ -0,0 +1,417 @@
+//! What a controller expects, and what the leader makes of it: the paper's periodic and remedial
+//! rules, and which idle machines are offered to go back.
+
+use super::{Held, Outlook, OutlookRecord, Verdict, periodic, remedial, to_return};
+use crate::fleet::Use;
+use crate::membership::shares::Member;
+use crate::node::{Core, Node, age_s};
+use crate::placement::forecast::{Forecast, forecast};
+use crate::placement::views::{Views, kinds_for, room_of};
+use crate::policy::KindFacts;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Machines to be rented.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Wish {
+    pub kind: String,
+    pub count: u32,
+    /// How many of them may be spot machines.
+    pub spot: u32,
+    /// None of them may be an ordinary one.
+    pub spot_only: bool,
+    /// What may be rented instead if there is no more of it.
+    pub instead: Vec<Instead>,
+}
+
+/// Machines of another kind.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Instead {
+    pub kind: String,
+    pub count: u32,
+    pub spot_only: bool,
+}
+
+/// Counts since the last event, per kind of machine.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Tally {
+    pub finished: u32,
+    /// By the part of a machine that each filled.
+    pub counted: f64,
+    pub late: f64,
+}
+
+/// Smoothed arrivals and finishes per period over the whole fleet, and the arrivals as they were
+/// before the last period.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Flow {
+    arrivals: f64,
+    finishes: f64,
+    usual: f64,
+}
+
+/// Largest k: beyond it the machines that late tasks would fill are the limit anyway.
+const MOST_K: f64 = 20.0;
+
+/// A startup queue that grows is published before its period is over, but not more often.
+const EARLY: Duration = Duration::from_secs(2);
+
+/// Makes up what this controller publishes: at each period, and when its startup queue grew.
+pub fn look_ahead(node: &Node, core: &mut Core, views: &Views, now: Instant, now_ms: u64) {
+    let startup_count = node.policy.startup_count;
+    let due = now >= core.rent.next_event;
+    if !due && !startup_grew(core, views, startup_count, now) {
+        return;
+    }
+    let mapping = forecast(&views.jobs, &views.machines, startup_count);
+    core.counts.steps += mapping.steps;
+    let mut record = OutlookRecord {
+        at_ms: now_ms,
+        puts_per_s: 0.0,
+        kinds: outlooks(node, core, views, &mapping),
+    };
+    for (kind, outlook) in &mut record.kinds {
+        outlook.booting = booting(core, &node.me, kind);
+        outlook.held = held(node, core, kind, &mapping, now_ms);
+        outlook.arrived = arrived(node, core, kind, now_ms);
+    }
+    if due {
+        core.rent.next_event = now + Duration::from_secs_f64(node.policy.period_s);
+        part_writes(node, core, now_ms);
+        core.rent.tally.clear();
+        note_flow(node, core, now_ms);
+    }
+    core.rent.outlook = Some(record);
+}
+
+/// What others leave of their part of the state service's writes goes to those who lack it: one
+/// controller may have most of the starts for a while. Each keeps its own part, and a reserve for
+/// what it may need before it publishes again.
+fn part_writes(node: &Node, core: &Core, now_ms: u64) {
+    let part = node.settings.state_share().writes;
+    let (mut spare, mut hungry) = (0.0, 1.0);
+    for (name, kept) in &core.replica.outlooks {
+        let fresh = age_s(kept.record.at_ms, now_ms) < node.policy.period_s * 2.0;
+        if *name == node.me.name || !fresh {
+            continue; // one that is not heard of may be about to need all of its part
+        }
+        let used = kept.record.puts_per_s;
+        if used > part * HUNGRY {
+            hungry += 1.0;
+        }
+        spare += (part - used * 1.25 - part * 0.15).max(0.0);
+    }
+    node.state.set_write_rate(part + spare / hungry);
+}
+
+/// From this part of its own on, a controller is taken to lack writes.
+const HUNGRY: f64 = 0.75;
+
+fn startup_grew(core: &Core, views: &Views, startup_count: u32, now: Instant) -> bool {
+    let Some((at, record)) = &core.rent.published else {
+        return true;
+    };
+    if now.saturating_duration_since(*at) < EARLY {
+        return false;
+    }
+    let published: u32 = record.kinds.values().map(|o| o.startup).sum();
+    let length: u32 = startup_queues(views, startup_count).values().sum();
+    // The remedial rule takes off one and divides: less than two more changes nothing.
+    length >= published + 2
+}
+
+/// Startup tasks waiting, per kind.
+fn startup_queues(views: &Views, startup_count: u32) -> BTreeMap<String, u32> {
+    let mut queues: BTreeMap<String, u32> = BTreeMap::new();
+    for (index, job) in views.jobs.iter().enumerate() {
+        if !views.hopeless[index] {
+            let left = job.waiting.len() as u32;
+            let queue = startup_count.saturating_sub(job.begun).min(left);
+            *queues.entry(views.pools[index].clone()).or_default() += queue;
+        }
+    }
+    queues
+}
+
+/// Per kind of machine, what the mapping predicts.
+fn outlooks(
+    node: &Node,
+    core: &Core,
+    views: &Views,
+    mapping: &Forecast,
+) -> BTreeMap<String, Outlook> {
+    let mut pools: BTreeMap<String, Outlook> = BTreeMap::new();
+    let queues = startup_queues(views, node.policy.startup_count);
+    for kind in &core.kinds {
+        let tally = core.rent.tally.get(&kind.name).copied().unwrap_or_default();
+        let outlook = Outlook {
+            late_now: tally.late,
+            counted_now: tally.counted,
+            finished: tally.finished,
+            startup: queues.get(&kind.name).copied().unwrap_or(0),
+            ..Outlook::default()
+        };
+        pools.insert(kind.name.clone(), outlook);
+    }
+    for progress in core.views.jobs.values().filter(|p| p.placed > 0) {
+        let pool = pools.entry(progress.pool.clone()).or_default();
+        pool.running += f64::from(progress.placed) * progress.share;
+    }
+    for (index, job) in views.jobs.iter().enumerate() {
+        let name = &views.pools[index];
+        let Some(kind) = core.kind(name).filter(|_| !views.hopeless[index]) else {
+            continue;
+        };
+        let pool = pools.entry(name.clone()).or_default();
+        let mapped = mapping.mapped[index];
+        let waiting = job.waiting.len() as u32;
+        let share = job.need.share(&room_of(kind));
+        pool.waiting += waiting;
+        pool.counted_now += f64::from(waiting) * share;
+        if job.due < 0.0 {
+            pool.late_now += f64::from(waiting) * share;
+        }
+        pool.counted_next += f64::from(mapped.tasks) * share;
+        pool.late_next += f64::from(mapped.late) * share;
+        let turns = turns(job.due, job.duration, kind.boot_s);
+        let machines = share * f64::from(mapped.helped) / turns;
+        pool.wanted += machines;
+        if job.spot {
+            pool.wanted_spot += machines;
+            let next = core
+                .views
+                .jobs
+                .get(&job.id)
+                .and_then(|p| p.next_kind.as_ref());
+            if let Some((other, share)) = next {
+                let machines = share * f64::from(mapped.helped) / turns;
+                *pool.wanted_else.entry(other.clone()).or_default() += machines;
+            }
+        }
+    }
+    pools
+}
+
+/// How many late tasks one place of a new machine can take one after the other, in time. Where
+/// none would be in time, no machine cures the miss, and the work is spread as far as is bearable.
+fn turns(due: f64, duration: f64, boot_s: f64) -> f64 {
+    let window = due - boot_s;
+    let window = if window >= duration {
+        window
+    } else {
+        BEARABLE_S
+    };
+    (window / duration).floor().clamp(1.0, 6.0)
+}
+
+/// How long work that is late anyway may take on machines rented for it.
+const BEARABLE_S: f64 = 120.0;
+
+/// The leader's event, at each period: the controllers' figures are summed, and per kind of
+/// machine it rents, returns or keeps.
+pub fn event(node: &Node, core: &mut Core, now_ms: u64) {
+    for (kind, outlook) in summed(node, core, now_ms) {
+        let Some(facts) = facts(core, &kind, &outlook) else {
+            continue;
+        };
+        let bands = node.policy.bands(&facts);
+        let flow = core.rent.flow.get(&kind).copied().unwrap_or_default();
+        let k = (flow.arrivals / flow.finishes.max(1.0)).clamp(1.0, MOST_K);
+        let verdict = periodic(&outlook, &bands, k);
+        tracing::info!(
+            kind,
+            now = outlook.rate_now(),
+            next = outlook.rate_next(),
+            late = outlook.late_next,
+            counted = outlook.counted_next,
+            startup = outlook.startup,
+            booting = outlook.booting,
+            wanted = outlook.wanted,
+            k,
+            ?verdict,
+            "period"
+        );
+        match verdict {
+            Verdict::Rent(n) => {
+                // Booting machines took part in the mapping: what is late is late despite them.
+                let count = n.min(outlook.wanted.ceil() as u32);
+                if count > 0 {
+                    wish(node, core, &kind, &outlook, count);
+                }
+            }
+            Verdict::Return => {
+                let fleet = &core.replica.fleet.machines;
+                let up = fleet.values().filter(|m| m.kind == kind).count();
+                let may = |held: &&Held| {
+                    let machine = fleet.get(&held.name);
+                    machine.is_some_and(|m| node.policy.may_return(&facts, &m.zone, m.spot))
+                };
+                let free: Vec<Held> = outlook.held.iter().filter(may).cloned().collect();
+                for machine in to_return(&free, up) {
+                    tracing::info!(machine = machine.name, "returning");
+                    core.rent.to_return.push(machine.name.clone());
+                }
+            }
+            Verdict::Keep => {}
+        }
+    }
+}
+
+/// What the controllers that are there published, summed per kind.
+pub(super) fn summed(node: &Node, core: &Core, now_ms: u64) -> BTreeMap<String, Outlook> {
+    let mut sums: BTreeMap<String, Outlook> = BTreeMap::new();
+    for member in core.replica.present() {
+        let Some(kept) = core.replica.outlooks.get(&member.name) else {
+            continue;
+        };
+        if age_s(kept.record.at_ms, now_ms) > (node.policy.period_s * 2.5).max(15.0) {
+            continue; // from before it ended, or it has not come to publish: too old to act on
+        }
+        for (kind, outlook) in &kept.record.kinds {
+            sums.entry(kind.clone()).or_default().add(outlook);
+        }
+    }
+    sums
+}
+
+fn note_flow(node: &Node, core: &mut Core, now_ms: u64) {
+    for (kind, outlook) in summed(node, core, now_ms) {
+        let flow = core.rent.flow.entry(kind).or_default();
+        flow.usual = flow.arrivals;
+        flow.arrivals = flow.arrivals * 0.7 + f64::from(outlook.arrived) * 0.3;
+        flow.finishes = flow.finishes * 0.7 + f64::from(outlook.finished) * 0.3;
+    }
+}
+
+/// What the operators' expressions may name of a kind of machine.
+fn facts<'a>(core: &Core, kind: &'a str, outlook: &Outlook) -> Option<KindFacts<'a>> {
+    let known = core.kind(kind)?;
+    let flow = core.rent.flow.get(kind).copied().unwrap_or_default();
+    Some(KindFacts {
+        kind,
+        cpus: known.cpus,
+        gpus: known.gpus,
+        price: known.price,
+        arrived: f64::from(outlook.arrived),
+        usual: flow.usual,
+        waiting: f64::from(outlook.waiting),
+    })
+}
+
+/// Tasks of a kind's jobs that came within the last period.
+fn arrived(node: &Node, core: &Core, kind: &str, now_ms: u64) -> u32 {
+    let period_s = node.policy.period_s;
+    let jobs = core.replica.jobs.values();
+    jobs.map(|job| &job.record)
+        .filter(|r| core.replica.owner_of(r) == Some(&node.me))
+        .filter(|r| !r.cancelled && age_s(r.accepted_ms, now_ms) < period_s)
+        .filter(|r| kinds_for(core, &r.spec).first().is_some_and(|k| k == kind))
+        .map(|r| r.spec.tasks)
+        .sum()
+}
+
+/// The leader, between events: rent by the startup queues' length.
+pub fn remedy(node: &Node, core: &mut Core, now: Instant, now_ms: u64) {
+    let period = Duration::from_secs_f64(node.policy.period_s);
+    for (kind, outlook) in summed(node, core, now_ms) {
+        let last = core.rent.last_remedy.get(&kind);
+        if last.is_some_and(|last| now.saturating_duration_since(*last) < period) {
+            continue;
+        }
+        let wished = core.rent.wishes.iter().filter(|w| w.kind == kind);
+        let coming = outlook.booting + wished.map(|w| w.count).sum::<u32>();
+        let Some(facts) = facts(core, &kind, &outlook) else {
+            continue;
+        };
+        let bands = node.policy.bands(&facts);
+        let count = remedial(outlook.startup, coming, &bands);
+        if count == 0 {
+            continue;
+        }
+        core.rent.last_remedy.insert(kind.clone(), now);
+        tracing::info!(
+            kind,
+            startup = outlook.startup,
+            coming,
+            count,
+            "renting by the remedial rule"
+        );
+        wish(node, core, &kind, &outlook, count);
+    }
+}
+
+/// Own machines of a kind that are not up yet.
+fn booting(core: &Core, me: &Member, kind: &str) -> u32 {
+    let machines = core.replica.fleet.machines.iter();
+    machines
+        .filter(|(name, m)| {
+            m.kind == kind && m.owner == *me && !core.workers.live.contains_key(*name)
+        })
+        .count() as u32
+}
+
+fn wish(node: &Node, core: &mut Core, kind: &str, outlook: &Outlook, count: u32) {
+    // What the late tasks allow decides how many may be spot machines.
+    let share = match outlook.wanted > 0.0 {
+        true => outlook.wanted_spot / outlook.wanted,
+        false => 0.0,
+    };
+    let dearest = facts(core, kind, outlook).map_or(0.0, |f| node.policy.dearer(&f) * f.price);
+    let instead = outlook.wanted_else.iter().filter_map(|(other, wanted)| {
+        let other = core.kind(other)?;
+        let least = match other.spot_price > 0.0 {
+            true => other.spot_price.min(other.price),
+            false => other.price,
+        };
+        (least <= dearest).then(|| Instead {
+            kind: other.name.clone(),
+            count: count.min(wanted.ceil() as u32),
+            spot_only: other.price > dearest,
+        })
+    });
+    let instead = instead.collect();
+    core.rent.wishes.push(Wish {
+        kind: kind.to_owned(),
+        count,
+        spot: (f64::from(count) * share).round() as u32,
+        spot_only: false,
+        instead,
+    });
+}
+
+/// Own machines past their hold that are idle and that nothing was mapped to. By the second
+/// nothing is paid ahead, so that the hold begins anew with each use.
+fn held(node: &Node, core: &Core, kind: &str, mapping: &Forecast, now_ms: u64) -> Vec<Held> {
+    let fleet = summed(node, core, now_ms).remove(kind).unwrap_or_default();
+    let Some(facts) = facts(core, kind, &fleet) else {
+        return Vec::new();
+    };
+    let machines = core.replica.fleet.machines.iter();
+    let mut held: Vec<Held> = machines
+        .filter(|(name, m)| {
+            m.kind == kind
+                && m.owner == node.me
+                && m.state == Use::Open
+                && !core.rent.closing.contains_key(*name)
+                && !core.serves_its_purpose(name, kind)
+                && !mapping.used.contains(name.as_str())
+        })
+        .filter_map(|(name, m)| {
+            let unused = core.workers.live.get(name)?.used_at.elapsed().as_secs_f64();
+            let age = age_s(m.hired_ms, now_ms);
+            Some(Held {
+                name: name.clone(),
+                remaining_hold_s: node.policy.hold_s(&facts, &m.zone, m.spot) - unused.min(age),
+            })
+        })
+        .filter(|h| h.remaining_hold_s <= 0.0)
+        .collect();
+    // The record must fit its value; the rest goes with the next event.
+    held.sort_by(|a, b| a.remaining_hold_s.total_cmp(&b.remaining_hold_s));
+    let room = node.settings.value_bytes() / (core.kinds.len().max(1) * 160);
+    held.truncate(room.clamp(1, MOST_HELD));
+    held
+}
+
+/// Most machines that one outlook offers to give back, per kind.
+const MOST_HELD: usize = 30;
--- /dev/null
+++ b/src/renting/give_back.rs
@@ -0,0 +1,386 @@
+//! Machines on their way back, the records of those that are there, and what the cloud's list
+//! tells of either.
+
+use super::service::guard;
+use crate::cloud::{self, MOST_RELEASED};
+use crate::fleet::{Machine, Rental, Rented, Use, most_hired};
+use crate::membership;
+use crate::node::{Core, Node, age_s, wall_ms};
+use crate::state::replica::Kept;
+use crate::state::{Guard, Op, rental_key};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Returns idle machines, gives back silent ones, and drops their records once the cloud has
+/// answered: only then is everything on them provably gone.
+pub(super) async fn close_machines(node: &Arc<Node>) {
+    let names = to_close(node);
+    if names.is_empty() {
+        return;
+    }
+    let names = record_closing(node, names).await;
+    if names.is_empty() {
+        return;
+    }
+    if let Err(error) = node.cloud.release(names.clone()).await {
+        tracing::info!(%error, "a release is open");
+        return;
+    }
+    let mut left = names;
+    while !left.is_empty() {
+        let now = write_fleet(node, &left, |_| false).await;
+        if now.is_empty() {
+            return; // another turn finds them closing still, and releases them again
+        }
+        tracing::info!(names = ?now, "released");
+        left.retain(|name| !now.contains(name));
+        let mut core = node.core();
+        for name in &now {
+            core.rent.closing.remove(name);
+            core.workers.live.remove(name);
+        }
+    }
+    node.stirred.notify_one();
+}
+
+/// Changes machines in their rentals' records, as many as fit one transaction; returns those whose
+/// change is recorded. `change` returns false for a machine that leaves the record.
+async fn write_fleet(
+    node: &Arc<Node>,
+    names: &[String],
+    change: impl FnMut(&mut Rented) -> bool,
+) -> Vec<String> {
+    let most = node.settings.params.state.txn_ops;
+    let (mut guards, mut ops, mut rentals) = (Vec::new(), Vec::new(), Vec::new());
+    let written: Vec<String> = {
+        let core = node.core();
+        let fleet = &core.replica.fleet;
+        let changed = fleet.changed_by(names.iter().map(String::as_str), change);
+        let mut bytes = 0;
+        for (name, kept) in changed.into_iter().take(most) {
+            let op = match kept.record.machines.is_empty() {
+                true => Op::drop(rental_key(&name)),
+                false => Op::set(rental_key(&name), &kept.record),
+            };
+            bytes += op.bytes();
+            if bytes > crate::state::MOST_BYTES {
+                break;
+            }
+            guards.push(Guard {
+                k: rental_key(&name),
+                mark: kept.mark,
+            });
+            ops.push(op);
+            rentals.push(name);
+        }
+        let is_in = |name: &&String| {
+            let machine: Option<&Machine> = fleet.machines.get(*name);
+            machine.is_some_and(|m| rentals.contains(&m.rental))
+        };
+        names.iter().filter(is_in).cloned().collect()
+    };
+    if ops.is_empty() {
+        return Vec::new();
+    }
+    match node.state.transact(&guards, &ops).await {
+        Ok(ledger) => {
+            node.core().apply(ops, ledger);
+            written
+        }
+        Err(_) => {
+            node.sync().await;
+            Vec::new()
+        }
+    }
+}
+
+/// Records each release before it is sent, guarded by the machine's rental: a node that was cut off
+/// from the state service hears its machines no longer, because they are another's by now, and
+/// must not release them.
+async fn record_closing(node: &Arc<Node>, names: Vec<String>) -> Vec<String> {
+    let (mut recorded, new): (Vec<String>, Vec<String>) = {
+        let core = node.core();
+        let fleet = &core.replica.fleet.machines;
+        let known = names.into_iter().filter(|n| fleet.contains_key(n));
+        known.partition(|n| fleet[n].state == Use::Closing)
+    };
+    if !new.is_empty() {
+        let close = |machine: &mut Rented| {
+            machine.state = Use::Closing;
+            true
+        };
+        recorded.extend(write_fleet(node, &new, close).await);
+    }
+    recorded
+}
+
+/// Rentals of a few machines each would make a takeover cost as many puts as one of machine keys.
+/// Now and then the leader moves the machines of such rentals, once all are surely up, into one
+/// record: a put, and the drops that their ends would cost in any case.
+pub(super) async fn merge_rentals(node: &Arc<Node>, mark: u64) {
+    let now = Instant::now();
+    {
+        let mut core = node.core();
+        let due = core.rent.merged_at.is_none_or(|at| now >= at + MERGE_EVERY);
+        if !due || node.state.writes_at_ease() < 0.5 {
+            return;
+        }
+        core.rent.merged_at = Some(now);
+    }
+    let mut chosen = to_merge(node, &node.core());
+    if chosen.len() < 3 {
+        return;
+    }
+    let into = chosen.remove(0);
+    let others = chosen;
+    let (name, kept) = into;
+    let mut record = kept.record;
+    let mut guards = vec![
+        guard(mark),
+        Guard {
+            k: rental_key(&name),
+            mark: kept.mark,
+        },
+    ];
+    let mut ops = Vec::new();
+    for (other, kept) in others {
+        record.machines.extend(kept.record.machines);
+        record.hired_ms = record.hired_ms.max(kept.record.hired_ms);
+        guards.push(Guard {
+            k: rental_key(&other),
+            mark: kept.mark,
+        });
+        ops.push(Op::drop(rental_key(&other)));
+    }
+    record.count = record.machines.len() as u32;
+    // The new record first: a machine is gone when no record lists it.
+    ops.insert(0, Op::set(rental_key(&name), &record));
+    match node.state.transact(&guards, &ops).await {
+        Ok(ledger) => {
+            tracing::debug!(name, machines = record.count, "rentals merged");
+            node.core().apply(ops, ledger);
+        }
+        Err(_) => {
+            node.sync().await;
+        }
+    }
+}
+
+/// Rentals of one kind, zone and sort whose machines fit one record, the largest first.
+fn to_merge(node: &Node, core: &Core) -> Vec<(String, Kept<Rental>)> {
+    let now_ms = wall_ms();
+    let most = most_hired(node.settings.value_bytes());
+    let settled = |rental: &Rental| {
+        let boot = core.kind(&rental.kind).map_or(60.0, |k| k.boot_s);
+        !rental.open && age_s(rental.hired_ms, now_ms) > boot * 3.0 + 20.0
+    };
+    let rentals = core.replica.fleet.rentals.iter();
+    let settled: Vec<_> = rentals.filter(|(_, k)| settled(&k.record)).collect();
+    let sort = |r: &Rental| (r.kind.clone(), r.zone.clone(), r.spot);
+    let mut counts: BTreeMap<_, usize> = BTreeMap::new();
+    for (_, kept) in &settled {
+        *counts.entry(sort(&kept.record)).or_default() += 1;
+    }
+    let Some((group, _)) = counts.into_iter().max_by_key(|(_, n)| *n) else {
+        return Vec::new();
+    };
+    let mut group: Vec<_> = settled
+        .into_iter()
+        .filter(|(_, kept)| sort(&kept.record) == group)
+        .collect();
+    group.sort_by_key(|(_, kept)| std::cmp::Reverse(kept.record.machines.len()));
+    let mut size = 0;
+    let mut taken = Vec::new();
+    for (name, kept) in group {
+        if taken.len() < MOST_MERGED && size + kept.record.machines.len() <= most {
+            size += kept.record.machines.len();
+            taken.push((name.clone(), kept.clone()));
+        }
+    }
+    taken
+}
+
+const MERGE_EVERY: Duration = Duration::from_secs(3);
+
+/// Most rentals merged at a time.
+const MOST_MERGED: usize = 6;
+
+pub(super) async fn mark_returning(node: &Arc<Node>, mark: u64) {
+    let names = std::mem::take(&mut node.core().rent.to_return);
+    if names.is_empty() || membership::lead_mark(node) != Some(mark) {
+        return;
+    }
+    let give_back = |machine: &mut Rented| {
+        machine.state = machine.state.max(Use::Returning);
+        true
+    };
+    write_fleet(node, &names, give_back).await;
+}
+
+/// How long a node that cannot hear its workers leaves them to others.
+const STAND_BACK: Duration = Duration::from_secs(20);
+
+/// Machines to be released now.
+fn to_close(node: &Node) -> Vec<String> {
+    let now = Instant::now();
+    let now_ms = wall_ms();
+    if node.is_cut_off() {
+        return Vec::new();
+    }
+    let mut core = node.core();
+    if core.standing.stand_back_until.is_some() {
+        return Vec::new();
+    }
+    let core = &mut *core;
+    let report = node.settings.report_every();
+    let silence = node.settings.lease().mul_f64(1.02) + Duration::from_millis(500);
+    let mut close: Vec<(String, &'static str)> = Vec::new();
+    // Silence for so long on most machines is noticed early, while another controller can still
+    // take them over before their workers' leases are out.
+    let unheard_for = node.settings.lease().mul_f64(0.4).max(report * 2);
+    let (mut silent, mut heard) = (0, 0);
+    for (name, (since, _)) in &core.workers.owned {
+        let Some(record) = core.replica.fleet.machines.get(name) else {
+            continue;
+        };
+        let empty = !core.replica.on.contains_key(name) && core.plans.on(name).next().is_none();
+        if record.state == Use::Closing {
+            close.push((name.clone(), "decided before"));
+            continue;
+        }
+        match core.workers.live.get(name) {
+            Some(live) => {
+                let quiet = now.saturating_duration_since(live.heard);
+                match quiet > unheard_for {
+                    true => silent += 1,
+                    false => heard += 1,
+                }
+                let taken = live
+                    .taken_at
+                    .is_some_and(|at| now > at && quiet > report + Duration::from_secs(2));
+                if taken {
+                    close.push((name.clone(), "taken by the cloud"));
+                } else if quiet > silence {
+                    close.push((name.clone(), "silent"));
+                } else if live
+                    .deaf
+                    .is_some_and(|at| now.saturating_duration_since(at) > silence)
+                    && (live.lapses != 1 || !live.unseen.is_empty())
+                {
+                    // What ran on it has ended with its lease, which our answers do not renew.
+                    close.push((name.clone(), "does not follow"));
+                } else {
+                    let idle = live
+                        .report
+                        .tasks
+                        .iter()
+                        .all(|t| t.state == crate::workers::TaskState::Ended);
+                    if record.state == Use::Returning && empty && idle {
+                        close.push((name.clone(), "returned"));
+                    }
+                }
+            }
+            None => {
+                let boot = core.kinds.iter().find(|k| k.name == record.kind);
+                let boot = boot.map_or(60.0, |k| k.boot_s);
+                let known = now.saturating_duration_since(*since);
+                let unheard = age_s(record.hired_ms, now_ms) > boot * 3.0 + 15.0;
+                // An owner before us that is cut off from the state service may keep the worker
+                // for as long as it may go without proof; only then does silence mean anything.
+                if unheard && known > silence + node.settings.blind_limit() {
+                    close.push((name.clone(), "never came up"));
+                }
+            }
+        }
+    }
+    let others = core.replica.presence.len() > 1;
+    if others && silent >= 3 && silent > heard && core.standing.stand_back_until.is_none() {
+        // Most machines fell silent at once: more likely this node cannot hear them. Others may;
+        // releasing them all would throw their work away.
+        tracing::info!(silent, heard, "cannot hear most machines: standing back");
+        core.standing.stand_back_until = Some(now + STAND_BACK);
+        return Vec::new();
+    }
+    close.truncate(MOST_RELEASED);
+    for (name, why) in &close {
+        if core.rent.closing.insert(name.clone(), why).is_none() {
+            core.plans.touch_machine(name);
+            tracing::info!(machine = name, why, "releasing");
+        }
+    }
+    close.into_iter().map(|(name, _)| name).collect()
+}
+
+/// Reads the cloud's list: machines that no record names are adopted, failed ones given back.
+pub(super) async fn take_list(node: &Arc<Node>, mark: u64) {
+    let Ok(list) = node.cloud.list().await else {
+        return;
+    };
+    // The list lags: a machine just released also looks unknown. This process remembers its
+    // releases; those before its time are out of the list after twice the lag.
+    let lag = Duration::from_secs_f64(node.settings.params.cloud.list_lag_s * 2.0 + 5.0);
+    let settled = {
+        let core = node.core();
+        let leading = core.standing.leading;
+        leading.is_some_and(|(_, since)| since.elapsed() > lag)
+            && core.replica.fleet.open().next().is_none()
+    };
+    for listed in list {
+        {
+            let mut core = node.core();
+            let core = &mut *core;
+            if core.replica.fleet.machines.contains_key(&listed.name) {
+                if listed.stage == "failed"
+                    && let Some(live) = core.workers.live.get_mut(&listed.name)
+                {
+                    // It stopped by itself: nothing on it can come back, and releasing it
+                    // proves that.
+                    live.taken_at = Some(Instant::now() - Duration::from_secs(1));
+                    core.plans.touch_machine(&listed.name);
+                }
+                continue;
+            }
+            if core.replica.fleet.is_gone(&listed.name) || listed.stage == "failed" || !settled {
+                continue;
+            }
+        }
+        adopt(node, mark, listed).await;
+    }
+}
+
+/// Records a machine that exists and is in no record: a rental of one, under its own name, so
+/// that it cannot be recorded twice.
+async fn adopt(node: &Arc<Node>, mark: u64, listed: cloud::Listed) {
+    let key = rental_key(&format!("a-{}", listed.name));
+    let record = Rental {
+        kind: listed.kind,
+        zone: listed.zone,
+        spot: listed.spot,
+        count: 1,
+        hired_ms: wall_ms().saturating_sub((listed.age_s * 1000.0) as u64),
+        open: false,
+        machines: vec![Rented {
+            name: listed.name.clone(),
+            owner: node.me.clone(),
+            token: mark,
+            state: Use::Open,
+        }],
+    };
+    let guards = [
+        guard(mark),
+        Guard {
+            k: key.clone(),
+            mark: 0,
+        },
+    ];
+    let put = Op::set(key, &record);
+    if let Ok(ledger) = node
+        .state
+        .transact(&guards, std::slice::from_ref(&put))
+        .await
+    {
+        node.core().apply(vec![put], ledger);
+        tracing::info!(machine = listed.name, "adopted");
+    }
+}
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -1,5 +1,8 @@
 //! When to rent and when to return: the paper's periodic and remedial rules, per kind of machine.
 
+pub mod decide;
+mod give_back;
+mod hire;
 pub mod service;
 
 use crate::policy::Bands;
