--- a/src/standins/tests.rs
+++ b/src/standins/tests.rs
@@ -172,3 +172,55 @@
     let taken = async || site.post(0, "/v1/jobs", job("job-5", 1, 1.0)).await.0 == 201;
     until("it is taken again", taken).await;
 }
+
+/// Rules `forgotten`, `went_back`, `invented` and `ran_twice`: a controller back within a moment,
+/// three times in a row and amid elections; then all of them ended inside an outage. Each job is
+/// known to each of them soon after, the long ended one too.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn back_within_a_moment_and_all_within_an_outage_forget_nothing() {
+    let site = Site::new(3, Duration::from_millis(800)).await;
+    let restart = |n: usize| Controller::start(n, &site.seats, site.state_addr, site.cloud_addr);
+    let mut nodes = Vec::new();
+    for number in 0..3 {
+        nodes.push(site.start(number).await);
+    }
+    site.post(1, "/v1/jobs", job("job-20", 2, 1.0)).await;
+    let done = async || site.stage(2, "job-20").await == "done";
+    until("the first is done", done).await;
+    for n in 21..25 {
+        let id = format!("job-{n}");
+        let taken = async || {
+            matches!(
+                site.post(n % 3, "/v1/jobs", job(&id, 3, 1.0)).await.0,
+                200 | 201
+            )
+        };
+        until("it is taken", taken).await;
+    }
+    for _ in 0..3 {
+        // Whoever leads by now, two of three end and are back before their leases are over.
+        drop(nodes.remove(0));
+        nodes.push(restart(0));
+        drop(nodes.remove(0));
+        nodes.push(restart(1));
+        nodes.rotate_left(1);
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    site.state.set_out(true);
+    nodes.clear();
+    nodes.extend((0..3).map(restart));
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    site.state.set_out(false);
+    for number in 0..3 {
+        for n in 20..25 {
+            let id = format!("job-{n}");
+            let done = async || site.stage(number, &id).await == "done";
+            until("each controller knows how each job ended", done).await;
+            let again = site.post(number, "/v1/jobs", job(&id, 3, 1.0)).await;
+            assert_eq!((again.0, again.1["stage"].as_str()), (200, Some("done")));
+        }
+        assert_eq!(site.get(number, "/v1/jobs/job-99").await.0, 404);
+    }
+    let world = site.cloud.world.lock().unwrap();
+    assert_eq!(world.broken, Vec::<String>::new());
+}
