--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -92,7 +92,12 @@
         return error(StatusCode::NOT_FOUND, "no such job");
     }
     let node = &server.node;
-    if let Some(last) = node.core().replica.ended(id) {
+    let ended = {
+        let mut core = node.core();
+        core.counts.polls += 1;
+        core.replica.ended(id)
+    };
+    if let Some(last) = ended {
         return json(StatusCode::OK, &told(id, last.into()));
     }
     let Some(_permit) = server.limit.enter(0.9) else {
@@ -124,7 +129,12 @@
         }
     };
     let id = spec.id.clone();
-    if let Some(last) = node.core().replica.ended(&id) {
+    let ended = {
+        let mut core = node.core();
+        core.counts.submitted += 1;
+        core.replica.ended(&id)
+    };
+    if let Some(last) = ended {
         return json(StatusCode::OK, &told(&id, last.into()));
     }
     let Some(_permit) = server.limit.enter(0.8) else {
