--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -16,9 +16,6 @@
 /// which forget nothing before it is recorded. The owner of another job must learn of its exits.
 const EXITS_WAIT: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(25));
 const OTHERS_WAIT: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
-/// Most pages of exits that are recorded in one turn before they must be: the next starts need what
-/// is left of the writes.
-const MOST_IN_ADVANCE: usize = 2;
 /// How long a page is left alone that the state service refused as malformed.
 const REFUSED_FOR: Duration = Duration::from_secs(30);
 
@@ -227,7 +224,6 @@
     now: Instant,
 ) -> Vec<Dirty> {
     let mut dirty = Vec::new();
-    let mut in_advance = MOST_IN_ADVANCE;
     for (id, changes) in core.plans.all() {
         let Some(job) = core.replica.jobs.get(id) else {
             continue;
@@ -239,9 +235,8 @@
             true => EXITS_WAIT,
             false => OTHERS_WAIT,
         };
-        let waited = core.plans.waited(id, now);
-        let spare = at_ease && waited >= least && in_advance > 0;
-        let writes_exits = spare || waited >= most;
+        let wait = if at_ease { least } else { most };
+        let writes_exits = core.plans.waited(id, now) >= wait;
         let mut pages: BTreeMap<usize, Vec<(u32, &Entry)>> = BTreeMap::new();
         for (task, entry) in changes {
             let page = pages.entry(core.replica.page_of(*task)).or_default();
@@ -250,7 +245,6 @@
         for (number, changes) in pages {
             let page = make_up_page(core, me, most_guards, id, job, number, &changes);
             if let Some(page) = page.filter(|p| p.starts || writes_exits) {
-                in_advance -= usize::from(!page.starts && in_advance > 0);
                 dirty.push(page);
             }
         }
