--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -236,7 +236,7 @@
             false => OTHERS_WAIT,
         };
         let wait = if at_ease { least } else { most };
-        let waited = core.plans.waited(id, now) >= wait;
+        let writes_exits = core.plans.waited(id, now) >= wait;
         let mut pages: BTreeMap<usize, Vec<(u32, &Entry)>> = BTreeMap::new();
         for (task, entry) in changes {
             let page = pages.entry(core.replica.page_of(*task)).or_default();
@@ -244,7 +244,7 @@
         }
         for (number, changes) in pages {
             let page = make_up_page(core, me, most_guards, id, job, number, &changes);
-            if let Some(page) = page.filter(|p| p.starts || waited) {
+            if let Some(page) = page.filter(|p| p.starts || writes_exits) {
                 dirty.push(page);
             }
         }
