--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -11,6 +11,9 @@
     Array,
     #[serde(rename = "group")]
     Gang,
+    /// Tasks that run until the job is cancelled: one that ends is started again.
+    #[serde(rename = "standing")]
+    Service,
 }
 
 /// Later is more urgent, so that urgencies compare.
@@ -114,6 +117,7 @@
         let shape = match text(&map, "shape")?.as_str() {
             "array" => Shape::Array,
             "group" => Shape::Gang,
+            "standing" => Shape::Service,
             _ => return Err(SpecError::Invalid("shape")),
         };
         let urgency = text(&map, "urgency")?;
@@ -166,6 +170,10 @@
         }
     }
 
+    pub fn is_service(&self) -> bool {
+        self.shape == Shape::Service
+    }
+
     pub fn is_gang(&self) -> bool {
         self.shape == Shape::Gang
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -191,6 +191,9 @@
 
     /// The expected run time of a job's tasks.
     pub fn duration(&self, spec: &JobSpec) -> f64 {
+        if spec.is_service() {
+            return SERVICE_RUNS_S;
+        }
         let factor = self.learned.get(&spec.class).map_or(1.0, Learned::factor);
         (spec.estimate_s * factor).max(0.5)
     }
@@ -271,6 +274,9 @@
     }
 }
 
+/// A service's tasks run until it is cancelled: no room is expected from them before long.
+const SERVICE_RUNS_S: f64 = 86_400.0;
+
 pub fn wall_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -185,8 +185,9 @@
                     .filter(|(attempt, _)| *attempt == task.attempt)
                     .map(|(_, since)| now.saturating_duration_since(since));
                 live.seen_since.remove(&id);
+                let service = record.is_some_and(|job| job.record.spec.is_service());
                 match task.cause {
-                    Some(Cause::Done) => {
+                    Some(Cause::Done) if !service => {
                         out.facts.insert(id.clone(), Entry::Done);
                         out.completed.push((id, ran));
                     }
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -153,3 +153,21 @@
     nothing
     "#);
 }
+
+/// A service runs until it is cancelled: a task of it that ends is to be started again.
+#[test]
+fn a_services_task_that_ends_is_no_completion() {
+    let mut replica = Replica::new(8);
+    let mut spec = spec("job-1", 2);
+    spec["shape"] = json!("standing");
+    let job = json!({"spec": spec, "accepted_ms": 0});
+    let pair = |k: &str, data: Value| Pair {
+        k: k.into(),
+        data: serde_json::value::to_raw_value(&data).unwrap(),
+        mark: 5,
+    };
+    let page = json!([[1, "vm-1", 1]]);
+    replica.reset(vec![pair("r/j/job-1", job), pair("r/p/job-1/0", page)], 10);
+    let ended = json!([{"sack":"job-1/0","turn":1,"stage":"ended","cause":"done"}]);
+    insta::assert_snapshot!(trace(&replica, report(1, TOKEN, ended)), @"record job-1/0 Waiting { last: 1 }");
+}
