Write no sight of a task under a later ownership; plan broken gangs anew

The mark was taken when the page was made up, after the ends of jobs had been written, and the log could bring the machine's next owner in between. The absence then stood under the new mark although the next owner had sent `run`. Ownership is now noted again right before pages are made up, and a task on another's machine is left to it.

Found beside it: a start planned on a machine that changed hands before it was written stayed planned for ever, and of a gang the rest was written without it; an answer that came after the log brought dropped records back; a rental filled twice would have taken tokens back.

--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -138,7 +138,7 @@
 
 async fn write_pages(node: &Arc<Node>) -> bool {
     let ops = node.settings.params.state.txn_ops;
-    let mut dirty = dirty_pages(&node.core(), node, Instant::now());
+    let mut dirty = dirty_pages(&mut node.core(), node, Instant::now());
     let mut singly = false;
     let mut fine = true;
     while !dirty.is_empty() {
@@ -178,7 +178,9 @@
                         true => core.counts.start_pages += 1,
                         false => core.counts.exit_pages += 1,
                     }
-                    core.replica.put_page(&d.job, d.number, d.page, ledger);
+                    if ledger > core.replica.revision {
+                        core.replica.put_page(&d.job, d.number, d.page, ledger);
+                    }
                     core.plans.recorded(&d.job);
                 }
             }
@@ -210,7 +212,11 @@
     fine
 }
 
-fn dirty_pages(core: &Core, node: &Node, now: Instant) -> Vec<Dirty> {
+fn dirty_pages(core: &mut Core, node: &Node, now: Instant) -> Vec<Dirty> {
+    // The log may have told of new owners since the turn began: what was seen under an ownership
+    // that is over must be forgotten before it is written under the next one's mark.
+    core.note_ownership(&node.me, now);
+    withdraw_broken_gangs(core);
     let most_guards = node.settings.params.state.txn_ops * 4;
     let at_ease = node.state.writes_at_ease() >= 0.98;
     make_up(core, &node.me, most_guards, at_ease, now)
@@ -286,6 +292,10 @@
         // What was seen of a task holds as long as its machine is ours: a next owner may have
         // started what we saw absent. A machine in no record is gone for good.
         if let Entry::Placed { machine, .. } = &before {
+            let theirs = core.replica.fleet.machines.get(machine);
+            if theirs.is_some_and(|m| m.owner != *me) {
+                continue; // an absence that we saw is void once another may send `run`
+            }
             needed.extend(core.machine_guard(machine));
         }
         let more = needed.iter().filter(|g| !rentals.contains(g)).count();
@@ -329,6 +339,27 @@
     })
 }
 
+/// A gang whose planned start lost a machine before it was written is planned anew as a whole: the
+/// rest would gather, wait for the missing task and fail.
+fn withdraw_broken_gangs(core: &mut Core) {
+    let is_placed = |e: &Entry| matches!(e, Entry::Placed { .. });
+    let mut broken = Vec::new();
+    for (id, changes) in core.plans.all() {
+        let job = core.replica.jobs.get(id).map(|j| &j.record.spec);
+        let Some(spec) = job.filter(|s| s.is_gang()) else {
+            continue;
+        };
+        let starts = changes.iter().filter(|(_, e)| is_placed(e));
+        let starts: Vec<u32> = starts.map(|(task, _)| *task).collect();
+        if !starts.is_empty() && !(0..spec.tasks).all(|t| is_placed(&core.entry(id, t))) {
+            broken.extend(starts.into_iter().map(|task| (id.clone(), task)));
+        }
+    }
+    for id in broken {
+        core.unplan(&id);
+    }
+}
+
 /// Takes back planned starts, of all the pages or of those that the failed guards concern.
 fn withdraw(core: &mut Core, batch: &[Dirty], failed: Option<&[String]>) {
     for d in batch {
@@ -479,6 +510,93 @@
         "#);
     }
 
+    /// Rule `ran_twice`, on a calm day at 1,050 machines: a withdrawn start was seen absent, and
+    /// while the ends of jobs were being written the log brought the machine's next owner. The
+    /// absence was then recorded under the new mark, after that owner had sent `run`. And a start
+    /// that was planned on such a machine stayed planned for ever.
+    #[test]
+    fn what_changes_hands_during_a_turn_takes_its_plans_along() {
+        let (me, mut core) = core();
+        core.note_ownership(&me, Instant::now());
+        put(&mut core, "r/m/r-2", rental("vm-2", "me", 1), 9);
+        core.note_ownership(&me, Instant::now());
+        core.plan(&("job-1".into(), 0), Entry::Waiting { last: 1 });
+        let on_second = Entry::Placed {
+            attempt: 1,
+            machine: "vm-2".into(),
+            session: 1,
+        };
+        core.plan(&("job-1".into(), 1), on_second);
+        let before = show(&core);
+        put(&mut core, "r/m/r-1", rental("vm-1", "other", 2), 12);
+        put(&mut core, "r/m/r-2", rental("vm-2", "other", 2), 13);
+        let during = show(&core);
+        core.note_ownership(&me, Instant::now());
+        let entry = core.entry("job-1", 1);
+        insta::assert_snapshot!(
+            format!("ours\n{before}lost within the turn\n{during}then the second is {entry:?}"),
+            @r#"
+            ours
+            put [1,[1,"vm-2",1]] if r/j/job-1@5 r/p/job-1/0@7 r/shares@0 r/m/r-1@6 r/m/r-2@9
+            lost within the turn
+            nothing
+            then the second is Waiting { last: 0 }
+            "#
+        );
+    }
+
+    /// A gang whose planned start lost a machine was written without that task: the others
+    /// gathered in vain, and the gang never counted as waiting again.
+    #[test]
+    fn a_gang_is_written_whole_or_planned_anew() {
+        let (me, mut core) = core();
+        let mut gang: Value = serde_json::to_value(&core.replica.jobs["job-1"].record).unwrap();
+        gang["spec"]["nameId"] = json!("job-2");
+        gang["spec"]["shape"] = json!("group");
+        put(&mut core, "r/j/job-2", gang, 9);
+        put(&mut core, "r/m/r-2", rental("vm-2", "me", 1), 10);
+        core.note_ownership(&me, Instant::now());
+        for (task, machine) in [(0, "vm-1"), (1, "vm-2")] {
+            let entry = Entry::Placed {
+                attempt: 1,
+                machine: machine.into(),
+                session: 1,
+            };
+            core.plan(&("job-2".into(), task), entry);
+        }
+        withdraw_broken_gangs(&mut core);
+        let whole = show(&core);
+        put(&mut core, "r/m/r-2", rental("vm-2", "other", 2), 12);
+        core.note_ownership(&me, Instant::now());
+        withdraw_broken_gangs(&mut core);
+        let broken = show(&core);
+        insta::assert_snapshot!(format!("whole\n{whole}one machine lost\n{broken}"), @r#"
+        whole
+        put [[1,"vm-1",1],[1,"vm-2",1]] if r/j/job-2@9 r/p/job-2/0@0 r/shares@0 r/m/r-1@6 r/m/r-2@10
+        one machine lost
+        nothing
+        "#);
+    }
+
+    /// An answer that came after the log had told more brought a dropped record back to life, which
+    /// nothing would ever drop again.
+    #[test]
+    fn a_late_answer_to_our_own_change_brings_nothing_back() {
+        let (_, mut core) = core();
+        let record = core.replica.fleet.rentals["r-1"].record.clone();
+        let drop = crate::state::client::Change {
+            set: None,
+            drop: Some("r/m/r-1".into()),
+            data: None,
+            mark: 20,
+        };
+        core.replica.take(vec![drop], 20);
+        core.apply(vec![Op::set("r/m/r-1".into(), &record)], 12);
+        assert!(core.replica.fleet.rentals.is_empty());
+        core.apply(vec![Op::set("r/m/r-3".into(), &record)], 21);
+        assert!(core.replica.fleet.rentals.contains_key("r-3"));
+    }
+
     /// A job with a task on vm-1, which is ours.
     fn core() -> (Member, Core) {
         let mut core = Core::new(8, Instant::now());
--- a/src/node.rs
+++ b/src/node.rs
@@ -210,6 +210,9 @@
 
     /// Takes in our own changes as soon as they are answered.
     pub fn apply(&mut self, ops: Vec<Op>, ledger: u64) {
+        if ledger <= self.replica.revision {
+            return; // the log was faster, and may have told of the record's end since
+        }
         for op in ops {
             match op {
                 Op::Set { set, data, .. } => self.replica.put(&set, data.get(), ledger),
@@ -268,7 +271,10 @@
     fn forget_seen(&mut self, name: &str) {
         self.workers.live.remove(name);
         let on = self.replica.on.get(name).cloned().unwrap_or_default();
-        for id in on {
+        // Starts planned there and not written yet, too: nobody else would ever take them back, and
+        // their tasks would count as placed for ever.
+        let planned: Vec<TaskId> = self.plans.on(name).cloned().collect();
+        for id in on.into_iter().chain(planned) {
             self.unplan(&id);
         }
     }
--- a/src/renting/hire.rs
+++ b/src/renting/hire.rs
@@ -176,6 +176,12 @@
     let got = names.len() as u32;
     let (op, mark_before) = {
         let mut core = node.core();
+        // An earlier answer to the same request may be in the record by now, and its machines may
+        // have changed hands or gone: filling it again would take their tokens back.
+        let kept = core.replica.fleet.rentals.get(name);
+        let Some(mark_before) = kept.filter(|k| k.record.open).map(|k| k.mark) else {
+            return got;
+        };
         if got < record.count {
             let key = (record.kind.clone(), record.zone.clone(), record.spot);
             let until = Instant::now() + Duration::from_secs(20);
@@ -201,8 +207,7 @@
             true => Op::drop(rental_key(name)),
             false => Op::set(rental_key(name), &filled),
         };
-        let kept = core.replica.fleet.rentals.get(name);
-        (op, kept.map_or(0, |k| k.mark))
+        (op, mark_before)
     };
     let guards = [
         guard(mark),
