Let k grow with the work that the miss rate is a part of

Cause: the formula turns a rate into machines by k alone, and k was 1 once arrivals and finishes were even.

Ruled out: a lack of machines in the cloud (66 alder-12g and 300 sen-16g were free), processor time.

--- a/src/renting/decide.rs
+++ b/src/renting/decide.rs
@@ -1,7 +1,7 @@
 //! What a controller expects, and what the leader makes of it: the paper's periodic and remedial
 //! rules, and which idle machines are offered to go back.
 
-use super::{Held, Outlook, OutlookRecord, Verdict, periodic, remedial, to_return};
+use super::{Held, Outlook, OutlookRecord, Verdict, k_of_size, periodic, remedial, to_return};
 use crate::fleet::Use;
 use crate::membership::shares::Member;
 use crate::node::{Core, Node, age_s};
@@ -216,7 +216,8 @@
         };
         let bands = node.policy.bands(&facts);
         let flow = core.rent.flow.get(&kind).copied().unwrap_or_default();
-        let k = (flow.arrivals / flow.finishes.max(1.0)).clamp(1.0, MOST_K);
+        let flow = (flow.arrivals / flow.finishes.max(1.0)).clamp(1.0, MOST_K);
+        let k = flow.max(k_of_size(&outlook, &bands));
         let verdict = periodic(&outlook, &bands, k);
         tracing::info!(
             kind,
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -112,6 +112,14 @@
     }
 }
 
+/// The paper's formula turns a rate into machines by k alone, and its fleet had a few dozen. The
+/// same rate of a thousand machines' work rented one machine a period there, while hundreds were
+/// wanted: so k grows with the work that the rate is a part of, until the formula gives what the
+/// late work fills. What it would not start sooner is still not rented.
+pub fn k_of_size(outlook: &Outlook, bands: &Bands) -> f64 {
+    outlook.counted_next * bands.beta
+}
+
 /// The remedial rule (equation 2), less what is booting.
 pub fn remedial(startup: u32, booting: u32, bands: &Bands) -> u32 {
     let ns = f64::from(startup) - 1.0;
@@ -172,6 +180,14 @@
             let verdict = periodic(&outlook(now, next), &bands, k);
             trace.push_str(&format!("now {now:?} next {next:?} k {k} -> {verdict:?}\n"));
         }
+        for counted in [10, 100, 1000] {
+            let work = outlook((0, counted), (counted / 4, counted));
+            let k = k_of_size(&work, &bands).max(1.0);
+            let verdict = periodic(&work, &bands, k);
+            trace.push_str(&format!(
+                "a quarter late of {counted}, k {k} -> {verdict:?}\n"
+            ));
+        }
         for (startup, booting) in [(0, 0), (1, 0), (2, 0), (3, 0), (16, 0), (16, 5), (16, 9)] {
             let n = remedial(startup, booting, &bands);
             trace.push_str(&format!(
