Do not let the log bring back a record that we dropped ahead of it

A rental merged right after a release came back by the log's older change, and its drop then took live machines out of the replica for seconds.

--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -95,6 +95,9 @@
     changed_on: HashSet<String>,
     ended: HashMap<String, Final>,
     ended_order: VecDeque<String>,
+    /// Keys that our own changes dropped before the log told of it, with the drops' marks: what the
+    /// log still tells of them from before is over.
+    dropped: HashMap<String, u64>,
 }
 
 impl Replica {
@@ -140,6 +143,8 @@
             }
         }
         self.revision = self.revision.max(ledger);
+        let told = self.revision;
+        self.dropped.retain(|_, mark| *mark > told);
     }
 
     pub fn ended(&self, id: &str) -> Option<Final> {
@@ -163,6 +168,9 @@
         let Some(rest) = key.strip_prefix(super::LIVE) else {
             return;
         };
+        if self.dropped.get(key).is_some_and(|at| *at >= mark) {
+            return;
+        }
         let (slice, name) = rest.split_once('/').unwrap_or((rest, ""));
         match slice {
             "j" => {
@@ -308,6 +316,9 @@
         let Some(rest) = key.strip_prefix(super::LIVE) else {
             return;
         };
+        if mark > self.revision {
+            self.dropped.insert(key.to_owned(), mark);
+        }
         let (slice, name) = rest.split_once('/').unwrap_or((rest, ""));
         match slice {
             "j" => {
@@ -441,4 +452,53 @@
         replica.take(vec![change("r/p/job-1/0", serde_json::Value::Null, 8)], 8);
         assert!(replica.on.is_empty() && replica.orphans.is_empty());
     }
+
+    /// Rules `ran_twice` and `wrong_place`, found by hunt and on a calm day: rentals were merged
+    /// right after machines of one had been released. The log then told of the release, which
+    /// brought the dropped record back, and of the drop, which took the machines of the merged
+    /// rental along: for seconds they counted as gone, and their tasks were placed again.
+    #[test]
+    fn what_we_dropped_is_not_brought_back_by_an_older_change() {
+        let rental = |machines: &[&str]| {
+            let machines: Vec<_> = machines.iter().map(|m| json!([m, 0, 10, 0])).collect();
+            json!({"kind":"m","zone":"a","spot":false,"count":3,"hired_ms":0,
+                "owners":[["me", 1]],"machines":machines})
+        };
+        let null = serde_json::Value::Null;
+        let mut replica = Replica::new(8);
+        replica.take(
+            vec![
+                change("r/m/r-1", rental(&["vm-1"]), 5),
+                change("r/m/r-2", rental(&["vm-2", "vm-3"]), 6),
+            ],
+            6,
+        );
+        // Our own changes, taken in as soon as they are answered: a release, and the merging.
+        replica.put("r/m/r-2", &rental(&["vm-2"]).to_string(), 7);
+        replica.put("r/m/r-1", &rental(&["vm-1", "vm-2"]).to_string(), 9);
+        replica.remove("r/m/r-2", 9);
+        let mut trace = String::new();
+        let mut say = |what: &str, replica: &Replica| {
+            let machines = replica.fleet.machines.iter();
+            let machines: Vec<String> = machines
+                .map(|(n, m)| format!("{n} in {}", m.rental))
+                .collect();
+            trace.push_str(&format!("{what}: {}\n", machines.join(", ")));
+        };
+        say("merged", &replica);
+        replica.take(vec![change("r/m/r-2", rental(&["vm-2"]), 7)], 7);
+        say("the log tells of the release", &replica);
+        let merging = vec![
+            change("r/m/r-1", rental(&["vm-1", "vm-2"]), 9),
+            change("r/m/r-2", null, 9),
+        ];
+        replica.take(merging, 9);
+        say("and of the merging", &replica);
+        assert!(replica.dropped.is_empty());
+        insta::assert_snapshot!(trace, @r#"
+        merged: vm-1 in r-1, vm-2 in r-1
+        the log tells of the release: vm-1 in r-1, vm-2 in r-1
+        and of the merging: vm-1 in r-1, vm-2 in r-1
+        "#);
+    }
 }
