--- a/src/placement/cache.rs
+++ b/src/placement/cache.rs
@@ -11,7 +11,7 @@
 use crate::workers::{Live, TaskId, TaskState};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// The expected boot time over the catalogue's.
 pub const BOOT: f64 = 1.1;
@@ -75,10 +75,6 @@
 /// GPU machines beyond so many times what GPU work needs are spare.
 const SPARE_BEYOND: f64 = 1.2;
 
-/// How long machines are kept for a job that they are cleared for: stopping takes a report or
-/// two, and a save its time.
-const KEPT_FOR: Duration = Duration::from_secs(10);
-
 /// Most waiting tasks of one job that are looked at in one mapping.
 const MOST_WAITING: usize = 2000;
 
@@ -122,8 +118,8 @@
         self.opened = opened;
     }
 
-    pub fn keep_for(&mut self, job: &str, machines: Vec<Arc<str>>, now: Instant) {
-        self.kept.insert(job.to_owned(), (machines, now + KEPT_FOR));
+    pub fn keep_for(&mut self, job: &str, machines: Vec<Arc<str>>, until: Instant) {
+        self.kept.insert(job.to_owned(), (machines, until));
     }
 
     /// Marks the machines that are kept for one of the jobs, and forgets what is over.
