Let the answer to an idle machine wait up to 2 s for work

Cause: `run` goes only in answers to reports, which are 4 and 6 s apart on the fleet sites; a gang of six waits for the last of six reports, and 15 s are allowed it with a fetch of 10 s. A machine on which nothing runs has nothing to tell meanwhile, so its answer now waits for at most half the time between two reports, 2 s at the most, and goes out as soon as a start there is recorded or the machine changes hands. Answers that carry orders, and those of machines that have tasks, go out at once.

Ruled out: placing turns (0.1 s apart).

--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -27,6 +27,8 @@
     page: Page,
     guards: Vec<Guard>,
     starts: bool,
+    /// Where it starts tasks.
+    machines: BTreeSet<String>,
 }
 
 impl Dirty {
@@ -181,6 +183,9 @@
                     if ledger > core.replica.revision {
                         core.replica.put_page(&d.job, d.number, d.page, ledger);
                     }
+                    for machine in &d.machines {
+                        core.workers.call(machine);
+                    }
                     core.plans.recorded(&d.job);
                 }
             }
@@ -272,7 +277,8 @@
     let old = job.pages.get(&number);
     let mut page = old.map(|p| p.record.clone()).unwrap_or_default();
     let mut rentals: BTreeSet<Guard> = BTreeSet::new();
-    let (mut changed, mut starts) = (false, false);
+    let mut changed = false;
+    let mut machines = BTreeSet::new();
     for (task, entry) in changes {
         let slot = *task as usize % core.replica.page_len;
         let before = page.get(slot);
@@ -303,13 +309,16 @@
             continue; // more than a transaction can guard: the rest goes with the next
         }
         rentals.extend(needed);
-        starts |= matches!(entry, Entry::Placed { .. });
+        if let Entry::Placed { machine, .. } = entry {
+            machines.insert(machine.clone());
+        }
         page.set(slot, (*entry).clone());
         changed = true;
     }
     if !changed {
         return None;
     }
+    let starts = !machines.is_empty();
     let mut guards = vec![
         Guard {
             k: job_key(id),
@@ -336,6 +345,7 @@
         page,
         guards,
         starts,
+        machines,
     })
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -270,6 +270,8 @@
 
     fn forget_seen(&mut self, name: &str) {
         self.workers.live.remove(name);
+        // A report that waits there is answered by whom it should go to now.
+        self.workers.call(name);
         let on = self.replica.on.get(name).cloned().unwrap_or_default();
         // Starts planned there and not written yet, too: nobody else would ever take them back, and
         // their tasks would count as placed for ever.
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -10,6 +10,7 @@
 use crate::state::Replica;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
 
 /// A task of a job, by number.
 pub type TaskId = (String, u32);
@@ -21,6 +22,17 @@
     /// Since when this node has owned each of its machines under its present token.
     pub owned: HashMap<String, (Instant, u64)>,
     pub stops: Stops,
+    /// Machines on which nothing runs and whose report waits for an answer; what is sent calls it.
+    pub idle: HashMap<String, oneshot::Sender<()>>,
+}
+
+impl Workers {
+    /// Has the answer go out that waits for work on this machine, if there is one.
+    pub fn call(&mut self, machine: &str) {
+        if let Some(call) = self.idle.remove(machine) {
+            let _ = call.send(());
+        }
+    }
 }
 
 /// What the owner knows of a machine beyond its record: kept in memory, learned anew by the next
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -2,6 +2,7 @@
 
 use super::{Live, Pending, Report, read};
 use crate::api::{Answer, come_back, error, json};
+use crate::fleet::Use;
 use crate::jobs::Entry;
 use crate::membership;
 use crate::membership::shares::Member;
@@ -11,6 +12,7 @@
 use serde_json::json;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
 
 fn elsewhere(member: Option<&str>) -> Answer {
     let body = match member {
@@ -68,15 +70,60 @@
         Taken::Read {
             freed: false,
             answer,
-        } => return json(StatusCode::OK, &answer),
+        } => {
+            let idle = idle_wait(node, &mut node.core(), &report, &answer);
+            let Some((called, within)) = idle else {
+                return json(StatusCode::OK, &answer);
+            };
+            let _ = tokio::time::timeout(within, called).await;
+        }
         // What is placed in the room just freed goes out with this answer, once it is recorded;
         // with the next report's it would come a report's interval later.
         Taken::Read { freed: true, .. } => node.next_tick(ANSWER_WITHIN).await,
     }
-    match orders(&mut node.core(), &report, Instant::now()) {
+    let mut core = node.core();
+    match orders(&mut core, &report, Instant::now()) {
         Some(answer) => json(StatusCode::OK, &answer),
-        None => elsewhere(None),
+        // It changed hands while the answer waited.
+        None => {
+            let machine = core.replica.fleet.machines.get(&report.machine);
+            elsewhere(
+                machine
+                    .map(|m| m.owner.name.as_str())
+                    .filter(|o| *o != node.me.name),
+            )
+        }
+    }
+}
+
+/// Longest that the answer to an idle machine waits for work, and the part of the time between two
+/// reports that it may take: it must not come near the 4 s after which the worker drops it.
+const IDLE_WAIT: Duration = Duration::from_millis(2000);
+const IDLE_PART: f64 = 0.5;
+
+/// `run` goes out with answers to reports only. A machine on which nothing runs has nothing to tell
+/// meanwhile, so the answer waits a little for work to be recorded there: with reports seconds
+/// apart, a gang would else wait for the last of its machines to report.
+fn idle_wait(
+    node: &Node,
+    core: &mut Core,
+    report: &Report,
+    answer: &wire::Answer,
+) -> Option<(oneshot::Receiver<()>, Duration)> {
+    let record = core.replica.fleet.machines.get(&report.machine)?;
+    let idle = report.tasks.is_empty()
+        && answer.orders.is_empty()
+        && report.notice_s.is_none()
+        && record.state == Use::Open
+        && report.token == record.token
+        && !core.replica.on.contains_key(&report.machine);
+    if !idle {
+        return None;
     }
+    let (call, called) = oneshot::channel();
+    core.workers.idle.insert(report.machine.clone(), call);
+    let within = node.settings.report_every().mul_f64(IDLE_PART);
+    Some((called, within.min(IDLE_WAIT)))
 }
 
 /// Longest that an answer waits for the record of what it is to start: far less than the 4 s
--- a/src/workers/service/tests.rs
+++ b/src/workers/service/tests.rs
@@ -181,3 +181,51 @@
     }
     insta::assert_snapshot!(format!("{}never heard us\n{}", scene.trace, other.trace));
 }
+
+/// With reports seconds apart a gang waited for the last of its machines to report. Only a machine
+/// that has nothing to tell meanwhile is kept waiting, and it is told at once of work and of a new
+/// owner.
+#[test]
+fn an_idle_machines_answer_waits_for_work() {
+    let mut scene = Scene::new();
+    let mut say = |scene: &mut Scene, what: &str, tasks: Value| {
+        let report: Report = serde_json::from_value(json!({"millstone": "vm-1", "endpoint": "",
+            "stone": "m", "yard": "a", "shift": 1, "tally": 1, "warrant": 7, "sacks": tasks}))
+        .unwrap();
+        let answer = wire::Answer {
+            token: 7,
+            orders: Vec::new(),
+        };
+        let mut core = scene.node.core();
+        let wait = idle_wait(&scene.node, &mut core, &report, &answer);
+        drop(core);
+        let shown = match &wait {
+            Some((_, within)) => format!("waits for {} ms", within.as_millis()),
+            None => "is answered at once".into(),
+        };
+        scene.trace.push_str(&format!("{what}: {shown}\n"));
+        wait.map(|(called, _)| called)
+    };
+    scene.owner(true, 7);
+    scene.report(1, 1, 1, 7, json!([]));
+    assert!(say(&mut scene, "with a task", running(1)).is_none());
+    let mut called = say(&mut scene, "idle", json!([])).unwrap();
+    assert!(called.try_recv().is_err());
+    scene.node.core().workers.call("vm-1");
+    assert!(called.try_recv().is_ok());
+    let mut called = say(&mut scene, "idle", json!([])).unwrap();
+    scene.owner(false, 8);
+    assert!(called.try_recv().is_ok(), "it changed hands");
+    scene.owner(true, 9);
+    assert!(say(&mut scene, "yet to see our token", json!([])).is_none());
+    insta::assert_snapshot!(scene.trace, @r#"
+    -- token 7, ours
+    1 s session 1 #1 token 7: token 7 orders []; heard at 1 s
+    with a task: is answered at once
+    idle: waits for 750 ms
+    idle: waits for 750 ms
+    -- token 8, another's
+    -- token 9, ours
+    yet to see our token: is answered at once
+    "#);
+}
