--- a/src/standins/state.rs
+++ b/src/standins/state.rs
@@ -3,6 +3,7 @@
 use super::{Asked, Reply};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -53,6 +54,16 @@
         })
     }
 
+    /// A way to the service of one controller alone, which can be cut: it then gets 503, and its
+    /// leases run out while the others are served.
+    pub fn line(&self, cut: Arc<AtomicBool>) -> Arc<dyn Fn(Asked) -> Reply + Send + Sync> {
+        let whole = self.handler();
+        Arc::new(move |asked| match cut.load(Ordering::Relaxed) {
+            true => Box::pin(async { (503, json!({"error": "trouble"})) }),
+            false => whole(asked),
+        })
+    }
+
     async fn follow(&self, asked: &Asked) -> (u16, Value) {
         let from: u64 = asked.query["from"].parse().unwrap();
         let hold = Duration::from_millis(asked.query["holdMs"].parse().unwrap());
--- a/src/standins/tests.rs
+++ b/src/standins/tests.rs
@@ -6,6 +6,8 @@
 use hyper::Method;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
@@ -224,3 +226,44 @@
     let world = site.cloud.world.lock().unwrap();
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// Rules `ran_twice`, `forgotten` and `went_back`: a controller that has lost the state service and
+/// the other controllers, but whose workers still reach it, takes it for an outage at first. The
+/// others take over what it placed, nothing runs twice, and each job is known to all once it is back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_cut_from_all_but_its_workers_gives_way() {
+    let site = Site::new(2, Duration::from_millis(2500)).await;
+    let cut = Arc::new(AtomicBool::new(false));
+    let line = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let line_addr = line.local_addr().unwrap();
+    tokio::spawn(serve(line, site.state.line(cut.clone())));
+    // Of the other controller it knows an address where nobody answers.
+    let mut seats = site.seats.clone();
+    seats[1].mesh = free_addr();
+    let _alone = Controller::start(0, &seats, line_addr, site.cloud_addr);
+    let ready = async || site.get(0, "/healthz").await.0 == 200;
+    until("the first is healthy", ready).await;
+    let _other = site.start(1).await;
+    let ids: Vec<String> = (40..46).map(|n| format!("job-{n}")).collect();
+    for (n, id) in ids.iter().enumerate() {
+        let taken = site.post(n % 2, "/v1/jobs", job(id, 3, 1.0)).await.0;
+        assert_eq!(taken, 201);
+    }
+    let running = async || site.stage(1, "job-40").await == "running";
+    until("it runs", running).await;
+    cut.store(true, Ordering::Relaxed);
+    for id in &ids {
+        let done = async || site.stage(1, id).await == "done";
+        until("the other ends what the first placed", done).await;
+    }
+    let (status, _) = site.post(0, "/v1/jobs", job("job-46", 1, 1.0)).await;
+    assert_eq!(status, 503, "it accepts nothing that it cannot record");
+    cut.store(false, Ordering::Relaxed);
+    for id in &ids {
+        let done = async || site.stage(0, id).await == "done";
+        until("the first knows it too", done).await;
+    }
+    let world = site.cloud.world.lock().unwrap();
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert!(world.starts >= 18);
+}
