--- a/src/renting/decide.rs
+++ b/src/renting/decide.rs
@@ -2,7 +2,7 @@
 //! rules, and which idle machines are offered to go back.
 
 use super::{Held, Outlook, OutlookRecord, Verdict, k_of_size, periodic, remedial, to_return};
-use crate::fleet::{Machine, Use};
+use crate::fleet::Use;
 use crate::membership::shares::Member;
 use crate::node::{Core, Node, age_s};
 use crate::placement::forecast::{Forecast, forecast};
@@ -234,10 +234,8 @@
         );
         match verdict {
             Verdict::Rent(n) => {
-                // Booting machines took part in the mapping: what is late is late despite them. Only
-                // those that no outlook counts yet must not be rented once more.
-                let wanted = n.min(outlook.wanted.ceil() as u32);
-                let count = wanted.saturating_sub(uncounted(core, &kind));
+                // Booting machines took part in the mapping: what is late is late despite them.
+                let count = n.min(outlook.wanted.ceil() as u32);
                 if count > 0 {
                     wish(node, core, &kind, &outlook, count);
                 }
@@ -260,27 +258,6 @@
     }
 }
 
-/// From a rental's record until its machines are in the mapping of their owner.
-const COUNTED_AFTER_MS: u64 = 1500;
-
-/// Machines of a kind on their way that their owners' outlooks are too old to count. An outlook is
-/// of up to a period ago, and large rentals take seconds: without this, what is wanted was rented
-/// two and three times over as soon as an event could rent all of it.
-fn uncounted(core: &Core, kind: &str) -> u32 {
-    let fleet = &core.replica.fleet;
-    let wished = core.rent.wishes.iter().filter(|w| w.kind == kind);
-    let wished: u32 = wished.map(|w| w.count).sum();
-    let open = fleet.open().filter(|(_, r)| r.kind == kind);
-    let open: u32 = open.map(|(_, r)| r.count).sum();
-    let looked_at = |m: &Machine| {
-        let outlook = core.replica.outlooks.get(&m.owner.name);
-        outlook.map_or(0, |o| o.record.at_ms)
-    };
-    let new = fleet.machines.values().filter(|m| m.kind == kind);
-    let new = new.filter(|m| m.hired_ms + COUNTED_AFTER_MS > looked_at(m));
-    wished + open + new.count() as u32
-}
-
 /// What the controllers that are there published, summed per kind.
 pub(super) fn summed(node: &Node, core: &Core, now_ms: u64) -> BTreeMap<String, Outlook> {
     let mut sums: BTreeMap<String, Outlook> = BTreeMap::new();
@@ -439,41 +416,3 @@
 
 /// Most machines that one outlook offers to give back, per kind.
 const MOST_HELD: usize = 30;
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use serde_json::json;
-
-    /// A hundred machines were rented three times over while their owners' outlooks were of before.
-    #[test]
-    fn what_no_outlook_counts_yet_is_not_rented_again() {
-        let mut core = Core::new(8, Instant::now());
-        let mut put = |key: &str, data: serde_json::Value, mark| {
-            core.replica.put(key, &data.to_string(), mark);
-        };
-        let rental = |machine: &str, hired_ms: u64| {
-            json!({"kind":"m","zone":"a","spot":false,"count":1,"hired_ms":hired_ms,
-                "owners":[["me", 1]],"machines":[[machine, 0, 1, 0]]})
-        };
-        put("r/m/r-1", rental("vm-1", 1_000), 1);
-        put("r/m/r-2", rental("vm-2", 9_000), 2);
-        put("r/m/r-3", rental("vm-3", 12_000), 3);
-        let open = json!({"kind":"m","zone":"a","spot":true,"count":50,"hired_ms":12_000,
-            "open":true,"owners":[],"machines":[]});
-        put("r/m/r-4", open, 4);
-        let mut trace = String::new();
-        for at_ms in [5_000, 10_000, 11_000, 20_000] {
-            let outlook = json!({"at_ms": at_ms, "kinds": {}});
-            core.replica.put("r/o/me", &outlook.to_string(), at_ms);
-            let uncounted = uncounted(&core, "m");
-            trace.push_str(&format!("outlook of {at_ms} ms: {uncounted} uncounted\n"));
-        }
-        insta::assert_snapshot!(trace, @r#"
-        outlook of 5000 ms: 52 uncounted
-        outlook of 10000 ms: 52 uncounted
-        outlook of 11000 ms: 51 uncounted
-        outlook of 20000 ms: 50 uncounted
-        "#);
-    }
-}
