--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -1,10 +1,12 @@
 //! Records progress: one put per changed page, many to a transaction, starts guarded by the keys
 //! of their job, page and machines' rentals. Nothing is started before its record stands.
 
+use super::plans::Changes;
 use super::{Entry, Final, Page};
 use crate::fleet::Use;
 use crate::node::{Core, Node};
 use crate::state::budget::Need;
+use crate::state::replica::Job;
 use crate::state::{Guard, MOST_BYTES, Op, SHARES_KEY, TxnError, final_key, job_key, page_key};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -16,6 +18,13 @@
 /// which forget nothing before it is recorded. The owner of another job must learn of its exits.
 const EXITS_WAIT: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(25));
 const OTHERS_WAIT: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
+/// Completions of another's job that is far from its end tell its owner nothing that it acts on.
+/// Machines change hands with what runs on them, and of a thousand machines half of what a
+/// controller could write were such records.
+const FAR_FROM_END_WAIT: (Duration, Duration) =
+    (Duration::from_millis(300), Duration::from_secs(10));
+/// Up to this part done, a job is far from its end.
+const FAR_FROM_END: f64 = 0.8;
 /// How long a page is left alone that the state service refused as malformed.
 const REFUSED_FOR: Duration = Duration::from_secs(30);
 
@@ -115,7 +124,7 @@
 }
 
 /// Done once every task is; a cancelled one is over once none of its tasks can be on a machine.
-fn over(core: &Core, id: &str, job: &crate::state::replica::Job) -> Option<Final> {
+fn over(core: &Core, id: &str, job: &Job) -> Option<Final> {
     let tasks = job.record.spec.tasks;
     let planned = core.plans.of(id);
     if job.record.cancelled {
@@ -244,6 +253,7 @@
         }
         let (least, most) = match core.replica.owner_of(&job.record) == Some(me) {
             true => EXITS_WAIT,
+            false if is_far_from_end(job, changes) => FAR_FROM_END_WAIT,
             false => OTHERS_WAIT,
         };
         let wait = if at_ease { least } else { most };
@@ -265,12 +275,19 @@
     dirty
 }
 
+/// Whether all that is to be recorded of a job are completions, and more than a few are to come.
+fn is_far_from_end(job: &Job, changes: &Changes) -> bool {
+    let done = f64::from(job.done) + changes.len() as f64;
+    let all_done = changes.values().all(|e| *e == Entry::Done);
+    all_done && !job.record.spec.is_gang() && done < f64::from(job.record.spec.tasks) * FAR_FROM_END
+}
+
 fn make_up_page(
     core: &Core,
     me: &crate::membership::shares::Member,
     most_guards: usize,
     id: &str,
-    job: &crate::state::replica::Job,
+    job: &Job,
     number: usize,
     changes: &[(u32, &Entry)],
 ) -> Option<Dirty> {
@@ -555,6 +572,56 @@
         );
     }
 
+    /// Where puts are scarce, completions of another's large job wait while many are to come; near
+    /// its end, or when a task must be placed again, its owner learns of them soon.
+    #[test]
+    fn completions_of_anothers_job_wait_while_many_are_to_come() {
+        let (me, mut core) = core();
+        let mut large: Value = serde_json::to_value(&core.replica.jobs["job-1"].record).unwrap();
+        large["spec"]["nameId"] = json!("job-2");
+        large["spec"]["sacks"] = json!(5);
+        put(&mut core, "r/j/job-2", large, 9);
+        let page = json!([
+            [1, "vm-1", 1],
+            [1, "vm-1", 1],
+            [1, "vm-1", 1],
+            [1, "vm-1", 1],
+            0
+        ]);
+        put(&mut core, "r/p/job-2/0", page, 10);
+        core.note_ownership(&me, Instant::now());
+        let start = Instant::now();
+        let mut trace = String::new();
+        let mut say = |core: &Core, what: &str| {
+            let waits = [1, 3, 11].map(|s| {
+                let written = make_up(core, &me, 96, false, start + Duration::from_secs(s));
+                format!(
+                    "{s} s {}",
+                    if written.is_empty() {
+                        "waits"
+                    } else {
+                        "written"
+                    }
+                )
+            });
+            trace.push_str(&format!("{what}: {}\n", waits.join(", ")));
+        };
+        core.plan(&("job-2".into(), 0), Entry::Done);
+        say(&core, "one of five done");
+        core.plan(&("job-2".into(), 1), Entry::Waiting { last: 1 });
+        say(&core, "one to be placed again");
+        core.unplan(&("job-2".into(), 1));
+        for task in 1..4 {
+            core.plan(&("job-2".into(), task), Entry::Done);
+        }
+        say(&core, "four of five done");
+        insta::assert_snapshot!(trace, @r#"
+        one of five done: 1 s waits, 3 s waits, 11 s written
+        one to be placed again: 1 s waits, 3 s written, 11 s written
+        four of five done: 1 s waits, 3 s written, 11 s written
+        "#);
+    }
+
     /// A gang whose planned start lost a machine was written without that task: the others
     /// gathered in vain, and the gang never counted as waiting again.
     #[test]
--- a/src/workers/service/tests.rs
+++ b/src/workers/service/tests.rs
@@ -188,7 +188,7 @@
 #[test]
 fn an_idle_machines_answer_waits_for_work() {
     let mut scene = Scene::new();
-    let mut say = |scene: &mut Scene, what: &str, tasks: Value| {
+    let say = |scene: &mut Scene, what: &str, tasks: Value| {
         let report: Report = serde_json::from_value(json!({"millstone": "vm-1", "endpoint": "",
             "stone": "m", "yard": "a", "shift": 1, "tally": 1, "warrant": 7, "sacks": tasks}))
         .unwrap();
