--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -26,7 +26,7 @@
 /// A request's head must be complete within this, and so must its body.
 const READ_LIMIT: Duration = Duration::from_secs(10);
 /// Sockets kept for our own calls and for other nodes.
-const OWN_SOCKETS: usize = 24;
+pub const OWN_SOCKETS: usize = 24;
 
 pub type Answer = Response<Full<Bytes>>;
 
