Write all pages of a gang that starts in one transaction

A gang of more tasks than a page holds (170 with values of 8 KiB) could start in part: the rest would gather in vain.

--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -38,6 +38,7 @@
     starts: bool,
     /// Where it starts tasks.
     machines: BTreeSet<String>,
+    gang: bool,
 }
 
 impl Dirty {
@@ -46,6 +47,16 @@
     }
 }
 
+/// How many pages at the front are written together or not at all: of a gang that starts, all. With
+/// one of them refused, the tasks on the others would gather in vain.
+fn unit_len(dirty: &[Dirty]) -> usize {
+    let Some(first) = dirty.first().filter(|d| d.gang && d.starts) else {
+        return dirty.len().min(1);
+    };
+    let same = |d: &&Dirty| d.job == first.job && d.starts;
+    dirty.iter().take_while(same).count()
+}
+
 pub async fn write(node: &Arc<Node>, leads: bool) {
     let fine = end_jobs(node).await && write_pages(node).await;
     if !fine {
@@ -158,19 +169,25 @@
             return fine;
         }
         let (mut guards, mut count, mut bytes) = (BTreeMap::new(), 0, 0);
-        for page in &dirty {
-            let added = page.guards.iter();
-            let added = added.filter(|g| !guards.contains_key(&g.k)).count();
-            let full = count >= room
-                || guards.len() + added > ops * 4
-                || bytes + page.bytes() > MOST_BYTES
+        while count < dirty.len() {
+            let unit = &dirty[count..count + unit_len(&dirty[count..])];
+            let new: BTreeMap<_, _> = unit
+                .iter()
+                .flat_map(|page| &page.guards)
+                .filter(|g| !guards.contains_key(&g.k))
+                .map(|g| (g.k.clone(), g.mark))
+                .collect();
+            let more: usize = unit.iter().map(Dirty::bytes).sum();
+            let full = count + unit.len() > room
+                || guards.len() + new.len() > ops * 4
+                || bytes + more > MOST_BYTES
                 || singly;
             if full && count > 0 {
                 break;
             }
-            guards.extend(page.guards.iter().map(|g| (g.k.clone(), g.mark)));
-            bytes += page.bytes();
-            count += 1;
+            guards.extend(new);
+            bytes += more;
+            count += unit.len();
         }
         let batch: Vec<Dirty> = dirty.drain(..count).collect();
         let guards: Vec<Guard> = guards
@@ -363,6 +380,7 @@
         guards,
         starts,
         machines,
+        gang: job.record.spec.is_gang(),
     })
 }
 
@@ -572,6 +590,36 @@
         );
     }
 
+    /// A gang of more tasks than a page holds starts with all its pages or not at all.
+    #[test]
+    fn a_gangs_pages_go_together() {
+        let (me, mut core) = core();
+        let mut gang: Value = serde_json::to_value(&core.replica.jobs["job-1"].record).unwrap();
+        gang["spec"]["nameId"] = json!("job-2");
+        gang["spec"]["shape"] = json!("group");
+        gang["spec"]["sacks"] = json!(20);
+        put(&mut core, "r/j/job-2", gang, 9);
+        core.note_ownership(&me, Instant::now());
+        let start = Entry::Placed {
+            attempt: 1,
+            machine: "vm-1".into(),
+            session: 1,
+        };
+        for task in 0..20 {
+            core.plan(&("job-2".into(), task), start.clone());
+        }
+        core.plan(&("job-1".into(), 1), start);
+        let dirty = make_up(&core, &me, 96, true, Instant::now());
+        let mut units = Vec::new();
+        let mut rest = &dirty[..];
+        while !rest.is_empty() {
+            let (unit, others) = rest.split_at(unit_len(rest));
+            units.push(format!("{} of {}", unit.len(), unit[0].job));
+            rest = others;
+        }
+        assert_eq!(units, ["1 of job-1", "3 of job-2"]);
+    }
+
     /// Where puts are scarce, completions of another's large job wait while many are to come; near
     /// its end, or when a task must be placed again, its owner learns of them soon.
     #[test]
