Work out whose machines are least spoken for once for many submissions

Each submission of an array went through all jobs and machines to choose who places it, and users come back by the hundred after an outage. The figures are now kept for half a second, and what is accepted in between is added to them.

--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -164,7 +164,7 @@
     if node.state.writes_left(Need::User) == 0 {
         return busy();
     }
-    let placer = membership::choose_placer(node, &node.core(), &spec);
+    let placer = membership::choose_placer(node, &mut node.core(), &spec);
     let record = JobRecord {
         spec,
         accepted_ms: wall_ms(),
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -4,6 +4,7 @@
 pub mod probe;
 pub mod shares;
 
+use crate::jobs::JobSpec;
 use crate::node::{Core, Node, age_s, wall_ms};
 use crate::placement::views::{due_after, kinds_for, room_of};
 use crate::placement::{By, Need};
@@ -13,7 +14,7 @@
     Guard, LEADER_KEY, Op, SHARES_KEY, TxnError, client::ReadError, presence_key, rental_key,
 };
 use probe::Probe;
-use shares::{Demand, Member, Shared, Shares, Work, part_jobs, part_machines};
+use shares::{Demand, Member, Shared, Shares, Wanted, Work, part_jobs, part_machines};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -32,6 +33,7 @@
     /// This node cannot hear most workers and leaves the lead to others until then.
     pub stand_back_until: Option<Instant>,
     pub probe: Probe,
+    spoken: Option<Spoken>,
 }
 
 /// Keeps the presence lease, and stands for the lead whenever nobody holds it.
@@ -187,6 +189,20 @@
     machines: Vec<(String, Member)>,
 }
 
+/// Machines that so many tasks of a job would fill at once, of the kind that they most need. What
+/// has time need not all run at once.
+fn weight(node: &Node, core: &Core, spec: &JobSpec, tasks: u32, age: f64) -> Option<(String, f64)> {
+    let name = kinds_for(core, spec).into_iter().next()?;
+    let kind = core.kind(&name)?;
+    let machines = Need::share(&spec.need(), &room_of(kind)) * f64::from(tasks);
+    let (due, by) = due_after(node, core, spec, age);
+    let at_once = match by {
+        By::Start => 1.0,
+        By::End => (core.duration(spec) * 1.5 / (due - age).max(0.1)).clamp(0.2, 1.0),
+    };
+    Some((name, machines * at_once))
+}
+
 /// Machines that each controller's work would fill, and what its limited teams would.
 pub fn demand(node: &Node, core: &Core, shares: &Shares) -> (Demand, BTreeMap<String, f64>, bool) {
     let now_ms = wall_ms();
@@ -199,65 +215,100 @@
     let mut gangs = false;
     for job in core.replica.jobs.values().filter(|j| !j.record.cancelled) {
         let spec = &job.record.spec;
-        let pool = kinds_for(core, spec).into_iter().next();
-        let Some(kind) = pool.and_then(|k| core.kind(&k)) else {
+        let left = spec.tasks - job.done.min(spec.tasks);
+        let age = age_s(job.record.accepted_ms, now_ms);
+        let Some((kind, machines)) = weight(node, core, spec, left, age) else {
             continue;
         };
         gangs |= spec.is_gang();
-        let left = f64::from(spec.tasks - job.done.min(spec.tasks));
-        let machines = Need::share(&spec.need(), &room_of(kind)) * left;
         if let Some(load) = limited.get_mut(&spec.team) {
             *load += machines;
         }
-        // What has time need not all run at once.
-        let age = age_s(job.record.accepted_ms, now_ms);
-        let (due, by) = due_after(node, core, spec, age);
-        let at_once = match by {
-            By::Start => 1.0,
-            By::End => (core.duration(spec) * 1.5 / (due - age).max(0.1)).clamp(0.2, 1.0),
-        };
         if let Some(member) = shares.owner(&job.record) {
-            let levels = demand
-                .entry((member.clone(), kind.name.clone()))
-                .or_default();
+            let levels = demand.entry((member.clone(), kind)).or_default();
             let wanted = levels.entry(spec.urgency).or_default();
             match spec.spot {
-                true => wanted.any += machines * at_once,
-                false => wanted.ordinary += machines * at_once,
+                true => wanted.any += machines,
+                false => wanted.ordinary += machines,
             }
         }
     }
     (demand, limited, gangs)
 }
 
+/// How far each controller's machines are spoken for. Worked out anew for each submission it took
+/// time in proportion to all jobs and machines: when users came back after an outage, hundreds at a
+/// time, reports waited behind it.
+#[derive(Debug)]
+pub struct Spoken {
+    at: Instant,
+    shares_mark: u64,
+    /// By controller and kind.
+    wanted: BTreeMap<(Member, String), f64>,
+    /// By controller, kind and whether it is a spot machine.
+    room: BTreeMap<(Member, String, bool), f64>,
+}
+
+/// Jobs accepted here in between are added as they come.
+const SPOKEN_FOR: Duration = Duration::from_millis(500);
+
+impl Spoken {
+    fn new(node: &Node, core: &Core, shares: &Shares, shares_mark: u64) -> Self {
+        let (demand, ..) = demand(node, core, shares);
+        let all = |levels: BTreeMap<_, Wanted>| levels.values().map(|w| w.any + w.ordinary).sum();
+        let mut room: BTreeMap<(Member, String, bool), f64> = BTreeMap::new();
+        for machine in core.replica.fleet.machines.values() {
+            if machine.state == crate::fleet::Use::Open {
+                let key = (machine.owner.clone(), machine.kind.clone(), machine.spot);
+                *room.entry(key).or_default() += 1.0;
+            }
+        }
+        Self {
+            at: Instant::now(),
+            shares_mark,
+            wanted: demand
+                .into_iter()
+                .map(|(k, levels)| (k, all(levels)))
+                .collect(),
+            room,
+        }
+    }
+
+    fn of(&self, member: &Member, kind: &str, spot: bool) -> f64 {
+        let key = (member.clone(), kind.to_owned());
+        let wanted = self.wanted.get(&key).copied().unwrap_or(0.0);
+        let of_sort = |spot| {
+            let key = (member.clone(), kind.to_owned(), spot);
+            self.room.get(&key).copied().unwrap_or(0.0)
+        };
+        let room = of_sort(false) + if spot { of_sort(true) } else { 0.0 };
+        // Even work without any machine counts: so arrivals before the first boot are parted.
+        (wanted + 1.0) / (room + 1.0)
+    }
+}
+
 /// Who should place a new job: of those whose machines it may use, the one whose room is least
 /// spoken for. Where a gang's controller has machines to spare, arrays fill them.
-pub fn choose_placer(node: &Node, core: &Core, spec: &crate::jobs::JobSpec) -> Option<String> {
-    let shares = &core.replica.shares.as_ref()?.record;
-    let kinds = kinds_for(core, spec);
-    if !shares.may_choose(spec) || kinds.is_empty() {
+pub fn choose_placer(node: &Node, core: &mut Core, spec: &JobSpec) -> Option<String> {
+    let kept = core.replica.shares.as_ref()?;
+    if !kept.record.may_choose(spec) {
         return None;
     }
-    let (demand, ..) = demand(node, core, shares);
-    let mut room: BTreeMap<&Member, f64> = BTreeMap::new();
-    for machine in core.replica.fleet.machines.values() {
-        let fits = kinds.first() == Some(&machine.kind) && (spec.spot || !machine.spot);
-        if fits && machine.state == crate::fleet::Use::Open {
-            *room.entry(&machine.owner).or_default() += 1.0;
-        }
-    }
-    let spoken_for = |m: &Member| {
-        let levels = demand.get(&(m.clone(), kinds[0].clone()));
-        let levels = levels.into_iter().flat_map(|l| l.values());
-        let all: f64 = levels.map(|w| w.any + w.ordinary).sum();
-        // Even work without any machine counts: so arrivals before the first boot are parted.
-        (all + 1.0) / (room.get(m).copied().unwrap_or(0.0) + 1.0)
+    let (kind, machines) = weight(node, core, spec, spec.tasks, 0.0)?;
+    let fresh = |s: &Spoken| s.at.elapsed() < SPOKEN_FOR && s.shares_mark == kept.mark;
+    let mut spoken = match core.standing.spoken.take().filter(fresh) {
+        Some(spoken) => spoken,
+        None => Spoken::new(node, core, &kept.record, kept.mark),
     };
-    let best = shares
-        .members
-        .iter()
-        .min_by(|a, b| spoken_for(a).total_cmp(&spoken_for(b)));
-    best.map(|m| m.name.clone())
+    let for_it = |m: &Member| spoken.of(m, &kind, spec.spot);
+    let members = kept.record.members.iter();
+    let best = members.min_by(|a, b| for_it(a).total_cmp(&for_it(b)));
+    let best = best.cloned();
+    if let Some(best) = &best {
+        *spoken.wanted.entry((best.clone(), kind)).or_default() += machines;
+    }
+    core.standing.spoken = Some(spoken);
+    best.map(|m| m.name)
 }
 
 fn wanted_change(node: &Node, core: &Core, settled: bool) -> Change {
@@ -403,3 +454,58 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::cloud::Kind;
+    use crate::policy::Policy;
+    use crate::settings::Settings;
+    use serde_json::json;
+
+    /// Users that come back together, after an outage: who has most room is worked out once for all
+    /// of them, and they are parted all the same.
+    #[test]
+    fn many_submissions_at_once_are_parted_by_one_look_at_the_fleet() {
+        let settings = json!({"member": "n-0", "site": "a", "api_addr": "127.0.0.1:1",
+            "mesh_addr": "127.0.0.1:2", "known": [],
+            "endpoints": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+            "params": {"size": 2, "zones": ["a"], "teams": [{"name": "t"}],
+                "workers": {"report_s": 1.5, "lease_s": 11.0, "gang_wait_s": 5.0,
+                    "gang_peer_s": 2.0, "cancel_s": 36.0},
+                "state": {"rps": 80.0, "write_rps": 30.0, "value_kb": 8.0, "txn_ops": 24},
+                "cloud": {"rps": 8.0, "list_lag_s": 4.0},
+                "limits": {"core_share": 1.0, "mem_mb": 72.0, "sockets": 500}, "skew_ms": 25.0}});
+        let settings = Settings::parse(&settings.to_string(), "test").unwrap();
+        let node = Node::new(settings, Policy::default());
+        let mut core = node.core();
+        let kind = json!({"sku":"m","cpus":4.0,"memGb":16.0,"hourly":1.0,"yards":["a"]});
+        core.kinds = vec![serde_json::from_value::<Kind>(kind).unwrap()];
+        let members = json!([{"name":"n-0","incarnation":1},{"name":"n-1","incarnation":1}]);
+        let shares =
+            json!({"members":members,"teams":{},"gangs":[0],"had_gangs":false,"slots":[0]});
+        core.replica.put("r/shares", &shares.to_string(), 5);
+        let job = |tasks: u32| -> JobSpec {
+            let spec = json!({"nameId":"job-1","grist":"c","crew":"t","shape":"array",
+                "urgency":"standard","sacks":tasks,"cpus":1.0,"cards":0.0,"memGb":1.0,"mould":"i",
+                "pullGb":1.0,"together":false,"spread":false,"borrowed":true,"grindS":10.0,
+                "bankS":0.0,"bankWriteS":0.0});
+            serde_json::from_value(spec).unwrap()
+        };
+        let chosen = [40, 4, 4, 4, 40, 8].map(|tasks| {
+            let name = choose_placer(&node, &mut core, &job(tasks)).unwrap();
+            format!("{tasks} tasks to {name}")
+        });
+        let looked_at = core.standing.spoken.as_ref().map(|s| s.at);
+        choose_placer(&node, &mut core, &job(1)).unwrap();
+        assert_eq!(core.standing.spoken.as_ref().map(|s| s.at), looked_at);
+        insta::assert_snapshot!(chosen.join("\n"), @r#"
+        40 tasks to n-0
+        4 tasks to n-1
+        4 tasks to n-1
+        4 tasks to n-1
+        40 tasks to n-1
+        8 tasks to n-0
+        "#);
+    }
+}
