Map at most a hundred waiting gangs one by one in a forecast

Each waiting gang is mapped on all machines in each zone, each period and whenever the startup queue grows. Those after the first hundred, by their time, are now taken to fare as the last of them did. A test counts the steps.

--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -29,6 +29,11 @@
 /// last of them did.
 const MOST_OF_A_JOB: usize = 1000;
 
+/// Waiting gangs that are mapped one by one; the rest, whose time is later, are taken to fare as the
+/// last of them did. Each looks at all machines: with some hundreds waiting on a thousand machines
+/// one forecast kept reports waiting for most of a second.
+const MOST_GANGS: usize = 100;
+
 struct Progress {
     next: usize,
     begun: u32,
@@ -40,6 +45,9 @@
     progress: Vec<Progress>,
     machines: Vec<MachineView>,
     out: Forecast,
+    gangs: usize,
+    /// Whether the gang mapped last is late, and whether a machine rented now would help it.
+    last_gang: (bool, bool),
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -161,8 +169,20 @@
             self.progress[job].next = size;
             return;
         }
+        if self.gangs >= MOST_GANGS {
+            let (late, helped) = self.last_gang;
+            let count = |yes: bool| if yes { size as u32 } else { 0 };
+            let mapped = &mut self.out.mapped[job];
+            mapped.tasks += size as u32;
+            mapped.late += count(late);
+            mapped.helped += count(helped);
+            self.progress[job].next = size;
+            return;
+        }
+        self.gangs += 1;
         let view = &self.jobs[job];
         let Some(places) = gang_places(view, size, &self.machines, &mut self.out.steps) else {
+            self.last_gang = (true, true);
             self.rest(job, true);
             return;
         };
@@ -177,6 +197,8 @@
             };
             self.put(job, &at);
         }
+        let mapped = &self.out.mapped[job];
+        self.last_gang = (mapped.late > 0, mapped.helped > 0);
     }
 
     /// What no machine can take waits, and counts as late.
@@ -224,6 +246,8 @@
             mapped: vec![Mapped::default(); jobs.len()],
             ..Forecast::default()
         },
+        gangs: 0,
+        last_gang: (false, false),
     };
     let batch = batch_order(jobs);
     let startup = startup_order(jobs);
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -258,3 +258,32 @@
         "{small} steps of 100 machines, {large} of 1000"
     );
 }
+
+/// However many gangs wait, a forecast looks at the fleet for a bounded number of them: with some
+/// hundreds of them on a thousand machines it kept reports waiting for most of a second.
+#[test]
+fn a_forecast_is_bounded_whatever_waits() {
+    let foreseen = |gangs: usize| {
+        let machines: Vec<MachineView> = (0..60)
+            .map(|n| machine(&format!("m{n}"), 30.0, 16.0))
+            .collect();
+        let jobs: Vec<JobView> = (0..gangs)
+            .map(|n| {
+                let mut gang = job(&format!("g{n}"), 15.0, 2, 40.0 + n as f64);
+                gang.gang = true;
+                gang
+            })
+            .collect();
+        let out = super::forecast::forecast(&jobs, &machines, 2);
+        let tasks: u32 = out.mapped.iter().map(|m| m.tasks).sum();
+        let late: u32 = out.mapped.iter().map(|m| m.late).sum();
+        (out.steps, tasks, late)
+    };
+    let (some, many) = (foreseen(100), foreseen(600));
+    assert!(many.0 <= some.0, "{} and {} steps", some.0, many.0);
+    assert_eq!((some.1, many.1), (200, 1200), "all are counted");
+    assert!(
+        many.2 > some.2 && many.2 <= many.1,
+        "those behind are late as well"
+    );
+}
