--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -1,9 +1,10 @@
 //! Submissions, polls and cancellations.
 
 use super::{Answer, Server, come_back, error, json};
-use crate::jobs::{Final, JobRecord, JobSpec, Stage, is_job_id};
+use crate::jobs::{Final, JobRecord, JobSpec, Stage, Stored, Submission, is_job_id};
 use crate::membership;
 use crate::node::{Core, Node, wall_ms};
+use crate::pipelines::service::look_up_needs;
 use crate::placement::views::{kinds_for, room_of};
 use crate::state::budget::Need;
 use crate::state::{Guard, Op, TxnError, final_key, job_key};
@@ -53,6 +54,14 @@
 }
 
 fn live(core: &Core, id: &str) -> Option<Known> {
+    if core.replica.pipelines.get(id).is_some() {
+        // Cancelled with what it needs, whether that is in its own record yet or not.
+        let stage = match core.replica.pipelines.is_doomed(id) {
+            true => Stage::Cancelled,
+            false => Stage::Queued,
+        };
+        return Some(Known::Live(stage, 0, 0));
+    }
     let job = core.replica.jobs.get(id)?;
     Some(Known::Live(job.stage(), job.done, job.placed))
 }
@@ -65,6 +74,11 @@
     if !node.has_state(OUT) || !node.sync().await {
         return Known::Unclear;
     }
+    // One that waits may be cancelled by what ended before this process began.
+    let unknown = node.core().replica.unknown_before(id);
+    if !unknown.is_empty() && !look_up_needs(node, unknown).await {
+        return Known::Unclear;
+    }
     {
         let core = node.core();
         if let Some(known) = live(&core, id) {
@@ -73,6 +87,9 @@
         if let Some(last) = core.replica.ended(id) {
             return Known::Over(last);
         }
+        if core.replica.is_unreadable(id) {
+            return Known::Unclear;
+        }
     }
     match node.state.get(&final_key(id)).await {
         Ok(Some(value)) => match serde_json::from_value::<Final>(value) {
@@ -121,8 +138,8 @@
 
 pub async fn submit(server: &Server, body: &[u8]) -> Answer {
     let node = &server.node;
-    let spec = match JobSpec::read(body) {
-        Ok(spec) => spec,
+    let Submission { spec, awaits } = match Submission::read(body) {
+        Ok(read) => read,
         Err(problem) => {
             // A job that was accepted is known whatever a repeat of it carries.
             return error(StatusCode::BAD_REQUEST, &problem.to_string());
@@ -144,8 +161,19 @@
         return no_state();
     }
     // A known job's state must be of now; for a new one the guards of its record say the same.
-    let seems_known = node.core().replica.jobs.contains_key(&id);
-    let verdict = judge(node, &spec);
+    let seems_known = node.core().replica.knows(&id);
+    let mut record = JobRecord {
+        spec,
+        accepted_ms: wall_ms(),
+        cancelled: false,
+        placer: None,
+        released_ms: None,
+    };
+    let verdict = judge(node, &record.spec, &awaits);
+    let verdict = match fits(node, &record, &awaits) {
+        true => verdict,
+        false => Verdict::TooLarge,
+    };
     if seems_known || verdict != Verdict::Takes {
         match look_up(node, &id).await {
             Known::Live(stage, ..) => return json(StatusCode::OK, &told(&id, stage)),
@@ -156,21 +184,31 @@
     }
     match verdict {
         Verdict::Never(reason) => return error(StatusCode::UNPROCESSABLE_ENTITY, reason),
+        Verdict::TooLarge => {
+            return error(
+                StatusCode::BAD_REQUEST,
+                "the job is more than a record takes",
+            );
+        }
         Verdict::Undecided => {
             return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "no catalogue yet");
         }
+        Verdict::NotYet => {
+            let reason = "jobs that wait for others are taken once all controllers can";
+            return come_back(StatusCode::SERVICE_UNAVAILABLE, 3, reason);
+        }
         Verdict::Takes => {}
     }
+    let before = match what_is_before(node, &awaits).await {
+        Ok(before) => before,
+        Err(answer) => return answer,
+    };
     if node.state.writes_left(Need::User) == 0 {
         return busy();
     }
-    let placer = membership::choose_placer(node, &mut node.core(), &spec);
-    let record = JobRecord {
-        spec,
-        accepted_ms: wall_ms(),
-        cancelled: false,
-        placer,
-    };
+    if before == Before::Done {
+        record.placer = membership::choose_placer(node, &mut node.core(), &record);
+    }
     let guards = [
         Guard {
             k: job_key(&id),
@@ -181,16 +219,32 @@
             mark: 0,
         },
     ];
-    let put = Op::set(job_key(&id), &record);
+    let (put, stage) = match before {
+        Before::Done => (Op::set(job_key(&id), &Stored::Open(record)), Stage::Queued),
+        Before::Open => {
+            let held = Stored::Held {
+                held: record,
+                awaits,
+            };
+            (Op::set(job_key(&id), &held), Stage::Queued)
+        }
+        // It needs a cancelled job, and so it is over: taken all the same.
+        Before::Cancelled => (Op::set(final_key(&id), &Final::Cancelled), Stage::Cancelled),
+    };
     match node
         .state
         .transact(&guards, std::slice::from_ref(&put))
         .await
     {
         Ok(ledger) => {
-            node.core().apply(vec![put], ledger);
+            let mut core = node.core();
+            match before {
+                Before::Cancelled => core.replica.remember_ended(&id, Final::Cancelled),
+                _ => core.apply(vec![put], ledger),
+            }
+            drop(core);
             node.stirred.notify_one();
-            json(StatusCode::CREATED, &told(&id, Stage::Queued))
+            json(StatusCode::CREATED, &told(&id, stage))
         }
         Err(TxnError::Conflict(_)) => match look_up(node, &id).await {
             Known::Live(stage, ..) => json(StatusCode::OK, &told(&id, stage)),
@@ -201,14 +255,93 @@
     }
 }
 
+/// How the jobs stand that a new one has to wait for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Before {
+    Done,
+    Open,
+    Cancelled,
+}
+
+/// Whatever becomes of them afterwards, what the new one's record says stays true: that one of them is
+/// done or cancelled is final, and all else follows from the records when it is asked for.
+async fn what_is_before(node: &Arc<Node>, awaits: &[String]) -> Result<Before, Answer> {
+    if awaits.is_empty() {
+        return Ok(Before::Done);
+    }
+    if !node.sync().await {
+        return Err(no_state());
+    }
+    let mut before = Before::Done;
+    for id in awaits {
+        let known = {
+            let core = node.core();
+            if core.replica.is_unreadable(id) {
+                return Err(no_state());
+            }
+            core.replica.knows(id)
+        };
+        if !known {
+            // With a read of its own: a job is in one of the two places from its acceptance on.
+            match node.state.get(&final_key(id)).await {
+                Ok(None) => {
+                    let reason = "`awaits` names a job that was never accepted";
+                    return Err(error(StatusCode::UNPROCESSABLE_ENTITY, reason));
+                }
+                Ok(Some(value)) => match serde_json::from_value::<Final>(value) {
+                    Ok(last) => node.core().replica.remember_ended(id, last),
+                    Err(_) => return Err(no_state()),
+                },
+                Err(_) => return Err(no_state()),
+            }
+        }
+        let unknown = node.core().replica.unknown_before(id);
+        if !unknown.is_empty() && !look_up_needs(node, unknown).await {
+            return Err(no_state());
+        }
+        let core = node.core();
+        let cancelled = core.replica.pipelines.is_doomed(id)
+            || core
+                .replica
+                .jobs
+                .get(id)
+                .is_some_and(|j| j.record.cancelled);
+        match (core.replica.ended(id), cancelled) {
+            (Some(Final::Cancelled), _) | (_, true) => before = Before::Cancelled,
+            (Some(Final::Done), _) => {}
+            (None, false) if before == Before::Done => before = Before::Open,
+            (None, false) => {}
+        }
+    }
+    Ok(before)
+}
+
+/// Whether a job's record fits a value for as long as it is kept, whichever limit holds by then.
+fn fits(node: &Node, record: &JobRecord, awaits: &[String]) -> bool {
+    let held = Stored::Held {
+        held: record.clone(),
+        awaits: awaits.to_vec(),
+    };
+    let bytes = serde_json::to_vec(&held).map_or(usize::MAX, |text| text.len());
+    bytes + MORE_BYTES <= node.settings.value_bytes()
+}
+
+/// What comes to a job's record later: who places it, when it was released, that it was cancelled.
+const MORE_BYTES: usize = 160;
+
 #[derive(Debug, PartialEq)]
 enum Verdict {
     Takes,
     Never(&'static str),
+    TooLarge,
     Undecided,
+    NotYet,
 }
 
-fn judge(node: &Node, spec: &JobSpec) -> Verdict {
+fn judge(node: &Node, spec: &JobSpec, awaits: &[String]) -> Verdict {
+    if awaits.contains(&spec.id) {
+        return Verdict::Never("`awaits` names the job itself");
+    }
     let teams = &node.settings.params.teams;
     let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
         return Verdict::Never("unknown team");
@@ -230,6 +363,10 @@
             false => "no machine type takes a task of it",
         });
     }
+    // A controller of the version before would run it at once.
+    if !awaits.is_empty() && !core.replica.has_begun() {
+        return Verdict::NotYet;
+    }
     Verdict::Takes
 }
 
@@ -254,28 +391,27 @@
             Known::Unclear => return no_state(),
             Known::Live(..) => {}
         }
-        let Some((mut record, mark)) = node
-            .core()
-            .replica
-            .jobs
-            .get(id)
-            .map(|j| (j.record.clone(), j.mark))
-        else {
-            continue;
+        let (mark, ops) = {
+            let core = node.core();
+            if let Some(held) = core.replica.pipelines.get(id) {
+                // Nothing of it runs: it is over at once, and with it all that need it.
+                let last = Op::set(final_key(id), &Final::Cancelled);
+                (held.mark, vec![last, Op::drop(job_key(id))])
+            } else if let Some(job) = core.replica.jobs.get(id) {
+                let record = job.record.clone().into_cancelled();
+                let put = Op::set(job_key(id), &Stored::Open(record));
+                (job.mark, vec![put])
+            } else {
+                continue;
+            }
         };
-        record.cancelled = true;
         let guards = [Guard {
             k: job_key(id),
             mark,
         }];
-        let put = Op::set(job_key(id), &record);
-        match node
-            .state
-            .transact(&guards, std::slice::from_ref(&put))
-            .await
-        {
+        match node.state.transact(&guards, &ops).await {
             Ok(ledger) => {
-                node.core().apply(vec![put], ledger);
+                node.core().apply(ops, ledger);
                 node.stirred.notify_one();
                 return json(StatusCode::OK, &told(id, Stage::Cancelled));
             }
--- a/src/jobs/pages.rs
+++ b/src/jobs/pages.rs
@@ -1,9 +1,66 @@
 //! Progress pages: for each task of a job, where it stands, in a form that fits one value.
+//!
+//! There are two forms. *Wide* pages are the version before's, which knows no other: their length
+//! follows from the limit on values, and all processes must agree on it. *Dense* pages are for limits
+//! that fall. They are written once no process of the version before can be there, and hold from then
+//! on for the tasks that they cover, whatever a wide page says of these: so a job's wide pages are
+//! brought over one dense page at a time, when one of its tasks is touched.
 
 use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt::Formatter;
 
+/// How jobs are divided into pages: tasks on a page of either form, and what a page may take. Where
+/// both are as long, dense pages are not used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Layout {
+    pub wide: usize,
+    pub dense: usize,
+    #[serde(skip)]
+    pub value_bytes: usize,
+}
+
+/// A page of a job. Wide ones come first: when a job's pages are dropped, none of them may be left
+/// without the dense page that overrules it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PageId {
+    Wide(usize),
+    Dense(usize),
+}
+
+impl Layout {
+    pub fn wide_of(&self, task: u32) -> PageId {
+        PageId::Wide(task as usize / self.wide)
+    }
+
+    pub fn dense_of(&self, task: u32) -> PageId {
+        PageId::Dense(task as usize / self.dense)
+    }
+
+    pub fn uses_dense(&self) -> bool {
+        self.dense < self.wide
+    }
+
+    /// The first task on a page, and how many there are.
+    pub fn span(&self, page: PageId) -> (u32, usize) {
+        match page {
+            PageId::Wide(n) => ((n * self.wide) as u32, self.wide),
+            PageId::Dense(n) => ((n * self.dense) as u32, self.dense),
+        }
+    }
+
+    /// Where on its page a task stands.
+    pub fn slot(&self, page: PageId, task: u32) -> usize {
+        task as usize % self.span(page).1
+    }
+
+    /// The wide pages that have tasks of a page.
+    pub fn wides_under(&self, page: PageId) -> std::ops::RangeInclusive<usize> {
+        let (first, count) = self.span(page);
+        first as usize / self.wide..=(first as usize + count - 1) / self.wide
+    }
+}
+
 /// Where one task stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Entry {
@@ -106,10 +163,137 @@
     }
 }
 
+/// A page's dense form: machines once each, with their sessions where they are not 1, and a number
+/// for each task.
+#[derive(Serialize, Deserialize)]
+struct Dense {
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    m: Vec<String>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    s: Vec<u64>,
+    t: Vec<i64>,
+}
+
+/// Places of machines in a number: more than a page has tasks.
+const PLACES: i64 = 1000;
+
+impl Page {
+    pub fn to_dense(&self) -> impl Serialize + use<> {
+        let mut dense = Dense {
+            m: Vec::new(),
+            s: Vec::new(),
+            t: Vec::with_capacity(self.0.len()),
+        };
+        let mut at: std::collections::HashMap<(&str, u64), usize> = Default::default();
+        for entry in &self.0 {
+            dense.t.push(match entry {
+                Entry::Done => -1,
+                Entry::Waiting { last: 0 } => 0,
+                Entry::Waiting { last } => -1 - *last as i64,
+                Entry::Placed {
+                    attempt,
+                    machine,
+                    session,
+                } => {
+                    let place = *at.entry((machine, *session)).or_insert_with(|| {
+                        dense.m.push(machine.clone());
+                        dense.s.push(*session);
+                        dense.m.len() - 1
+                    });
+                    *attempt as i64 * PLACES + place as i64
+                }
+            });
+        }
+        while dense.s.last() == Some(&1) {
+            dense.s.pop();
+        }
+        dense
+    }
+
+    /// Reads the dense form; a number that names no machine is an error and never taken for a task
+    /// that waits.
+    pub fn from_dense(data: &str) -> Result<Self, serde_json::Error> {
+        let dense: Dense = serde_json::from_str(data)?;
+        let entry = |number: i64| {
+            Ok(match number {
+                0 => Entry::default(),
+                -1 => Entry::Done,
+                last if last < 0 => Entry::Waiting {
+                    last: (-1 - last) as u64,
+                },
+                placed => {
+                    let place = (placed % PLACES) as usize;
+                    let machine = dense.m.get(place);
+                    Entry::Placed {
+                        attempt: (placed / PLACES) as u64,
+                        machine: machine
+                            .ok_or_else(|| serde_json::Error::custom("no such machine"))?
+                            .clone(),
+                        session: dense.s.get(place).copied().unwrap_or(1),
+                    }
+                }
+            })
+        };
+        let entries = dense.t.iter().map(|n| entry(*n));
+        Ok(Self(entries.collect::<Result<_, serde_json::Error>>()?))
+    }
+
+    /// What the page takes as a value.
+    pub fn bytes(&self, id: PageId) -> usize {
+        let text = match id {
+            PageId::Wide(_) => serde_json::to_vec(self),
+            PageId::Dense(_) => serde_json::to_vec(&self.to_dense()),
+        };
+        text.map_or(usize::MAX, |t| t.len())
+    }
+}
+
+/// What one more placed task takes of a page at most.
+pub fn entry_bytes(id: PageId, machine: &str) -> usize {
+    // Its number or `[attempt,"machine",session]`, and of a dense page the machine's name.
+    machine.len()
+        + match id {
+            PageId::Wide(_) => 28,
+            PageId::Dense(_) => 30,
+        }
+}
+
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
 
+    /// A layout without dense pages.
+    pub fn wide(len: usize) -> Layout {
+        Layout {
+            wide: len,
+            dense: len,
+            value_bytes: 8192,
+        }
+    }
+
+    /// The dense form, too; and one that names no machine is no page.
+    #[test]
+    fn a_dense_page_reads_back_as_written() {
+        let placed = |attempt, machine: &str, session| Entry::Placed {
+            attempt,
+            machine: machine.into(),
+            session,
+        };
+        let page = Page(vec![
+            Entry::default(),
+            placed(3, "vm-000231", 1),
+            Entry::Done,
+            Entry::Waiting { last: 7 },
+            placed(1, "vm-000017", 4),
+            placed(12, "vm-000231", 1),
+        ]);
+        let text = serde_json::to_string(&page.to_dense()).unwrap();
+        insta::assert_snapshot!(text, @r#"{"m":["vm-000231","vm-000017"],"s":[1,4],"t":[0,3000,-1,-8,1001,12000]}"#);
+        assert_eq!(Page::from_dense(&text).unwrap(), page);
+        assert!(Page::from_dense(r#"{"m":["vm-1"],"t":[1001]}"#).is_err());
+        assert!(Page::from_dense("[1,true]").is_err());
+    }
+
     #[test]
     fn a_page_reads_back_as_written() {
         let mut page = Page::default();
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
+use std::collections::HashSet;
 
 pub const MOST_TASKS: u64 = 100_000;
 
@@ -98,13 +99,21 @@
     Invalid(&'static str),
 }
 
+/// A job as it is submitted, with the jobs that have to be done before any of its tasks starts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Submission {
+    pub spec: JobSpec,
+    /// Each once.
+    pub awaits: Vec<String>,
+}
+
 /// `job-` and then digits: the only form an accepted id can have.
 pub fn is_job_id(id: &str) -> bool {
     id.strip_prefix("job-")
         .is_some_and(|n| (1..=20).contains(&n.len()) && n.bytes().all(|b| b.is_ascii_digit()))
 }
 
-impl JobSpec {
+impl Submission {
     pub fn read(body: &[u8]) -> Result<Self, SpecError> {
         let value: Value = serde_json::from_slice(body).map_err(|_| SpecError::NotJson)?;
         let Value::Object(map) = value else {
@@ -130,7 +139,8 @@
             _ => None,
         }
         .ok_or(SpecError::Invalid("sacks"))?;
-        Ok(Self {
+        let awaits = awaits(&map)?;
+        let spec = JobSpec {
             id,
             class: text(&map, "grist")?,
             team: text(&map, "crew")?,
@@ -158,9 +168,12 @@
                 None | Some(Value::Null) => None,
                 Some(_) => Some(amount(&map, "dueS")?),
             },
-        })
+        };
+        Ok(Self { spec, awaits })
     }
+}
 
+impl JobSpec {
     /// Most tasks that `spread` lets be in one zone.
     pub fn most_in_zone(&self) -> u32 {
         if self.spread {
@@ -212,6 +225,27 @@
     }
 }
 
+fn awaits(map: &Map<String, Value>) -> Result<Vec<String>, SpecError> {
+    let list = match map.get("awaits") {
+        None | Some(Value::Null) => return Ok(Vec::new()),
+        Some(Value::Array(list)) => list,
+        Some(_) => return Err(SpecError::Invalid("awaits")),
+    };
+    let mut ids: Vec<String> = Vec::with_capacity(list.len());
+    let mut seen = HashSet::new();
+    for id in list {
+        match id {
+            Value::String(id) if is_job_id(id) => {
+                if seen.insert(id) {
+                    ids.push(id.clone());
+                }
+            }
+            _ => return Err(SpecError::Invalid("awaits")),
+        }
+    }
+    Ok(ids)
+}
+
 fn types(map: &Map<String, Value>) -> Result<Option<Vec<String>>, SpecError> {
     let list = match map.get("stones") {
         None | Some(Value::Null) => return Ok(None),
@@ -244,8 +278,11 @@
     fn refusals_name_the_field() {
         let mut trace = String::new();
         let mut show = |what: &str, body: &[u8]| {
-            let verdict = match JobSpec::read(body) {
-                Ok(spec) => format!("accepted {}", spec.id),
+            let verdict = match Submission::read(body) {
+                Ok(Submission { spec, awaits }) if awaits.is_empty() => {
+                    format!("accepted {}", spec.id)
+                }
+                Ok(read) => format!("accepted {} after {:?}", read.spec.id, read.awaits),
                 Err(error) => format!("refused: {error}"),
             };
             trace.push_str(&format!("{what} -> {verdict}\n"));
@@ -268,6 +305,12 @@
             ("borrowed", json!("yes")),
             ("dueS", Value::Null),
             ("dueS", json!("soon")),
+            ("awaits", json!([])),
+            ("awaits", Value::Null),
+            ("awaits", json!(["job-000398", "job-000405", "job-000398"])),
+            ("awaits", json!("job-000398")),
+            ("awaits", json!(["job-000398", "task-1"])),
+            ("awaits", json!(["job-000398", 405])),
         ] {
             let mut body = good();
             body[field] = value.clone();
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -1,13 +1,17 @@
 //! Records progress: one put per changed page, many to a transaction, starts guarded by the keys
 //! of their job, page and machines' rentals. Nothing is started before its record stands.
 
+use super::pages::entry_bytes;
 use super::plans::Changes;
-use super::{Entry, Final, Page};
+use super::{Entry, Final, Page, PageId};
 use crate::fleet::Use;
 use crate::node::{Core, Node};
+use crate::pipelines;
 use crate::state::budget::Need;
 use crate::state::replica::Job;
-use crate::state::{Guard, MOST_BYTES, Op, SHARES_KEY, TxnError, final_key, job_key, page_key};
+use crate::state::{
+    FORMS_KEY, Guard, MOST_BYTES, Op, SHARES_KEY, TxnError, final_key, job_key, page_key,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -31,7 +35,7 @@
 /// One page as it is to be recorded.
 struct Dirty {
     job: String,
-    number: usize,
+    number: PageId,
     op: Op,
     page: Page,
     guards: Vec<Guard>,
@@ -39,6 +43,8 @@
     /// Where it starts tasks.
     machines: BTreeSet<String>,
     gang: bool,
+    /// No start was put off that does not fit a value or a transaction's guards.
+    whole: bool,
 }
 
 impl Dirty {
@@ -58,7 +64,13 @@
 }
 
 pub async fn write(node: &Arc<Node>, leads: bool) {
-    let fine = end_jobs(node).await && write_pages(node).await;
+    let ended = node.core().counts.ended;
+    let fine = end_jobs(node).await
+        && {
+            let ended_here = node.core().counts.ended != ended;
+            pipelines::service::turn(node, ended_here).await
+        }
+        && write_pages(node).await;
     if !fine {
         // Something failed or went unanswered: what stands is read, never assumed.
         node.sync().await;
@@ -73,14 +85,14 @@
 struct Ended {
     id: String,
     mark: u64,
-    pages: Vec<usize>,
+    pages: Vec<PageId>,
     last: Final,
 }
 
 /// Moves jobs that are over to their final key, with their pages; as many in a transaction as
 /// fit.
 async fn end_jobs(node: &Arc<Node>) -> bool {
-    let most = node.settings.params.state.txn_ops;
+    let most = node.settings.txn_ops();
     let mut over: Vec<Ended> = {
         let core = node.core();
         let jobs = core.replica.jobs.iter();
@@ -159,7 +171,7 @@
 }
 
 async fn write_pages(node: &Arc<Node>) -> bool {
-    let ops = node.settings.params.state.txn_ops;
+    let ops = node.settings.txn_ops();
     let mut dirty = dirty_pages(&mut node.core(), node, Instant::now());
     let mut singly = false;
     let mut fine = true;
@@ -248,7 +260,7 @@
     // that is over must be forgotten before it is written under the next one's mark.
     core.note_ownership(&node.me, now);
     withdraw_broken_gangs(core);
-    let most_guards = node.settings.params.state.txn_ops * 4;
+    let most_guards = node.settings.txn_ops() * 4;
     let at_ease = node.state.writes_at_ease() >= 0.98;
     make_up(core, &node.me, most_guards, at_ease, now)
 }
@@ -275,17 +287,26 @@
         };
         let wait = if at_ease { least } else { most };
         let writes_exits = core.plans.waited(id, now) >= wait;
-        let mut pages: BTreeMap<usize, Vec<(u32, &Entry)>> = BTreeMap::new();
+        let mut pages: BTreeMap<PageId, Vec<(u32, &Entry)>> = BTreeMap::new();
         for (task, entry) in changes {
             let page = pages.entry(core.replica.page_of(*task)).or_default();
             page.push((*task, entry));
         }
+        let before = dirty.len();
+        let mut whole = true;
         for (number, changes) in pages {
-            let page = make_up_page(core, me, most_guards, id, job, number, &changes);
-            if let Some(page) = page.filter(|p| p.starts || writes_exits) {
+            let Some(page) = make_up_page(core, me, most_guards, id, job, number, &changes) else {
+                continue;
+            };
+            whole &= page.whole;
+            if page.starts || writes_exits {
                 dirty.push(page);
             }
         }
+        // Of a gang all starts are written or none.
+        if !whole && job.record.spec.is_gang() {
+            dirty.truncate(before);
+        }
     }
     // Starts first: a task waits for each of them, and nobody waits for an exit's record.
     dirty.sort_by_key(|d| !d.starts);
@@ -305,16 +326,24 @@
     most_guards: usize,
     id: &str,
     job: &Job,
-    number: usize,
+    number: PageId,
     changes: &[(u32, &Entry)],
 ) -> Option<Dirty> {
+    let layout = &core.replica.layout;
     let old = job.pages.get(&number);
-    let mut page = old.map(|p| p.record.clone()).unwrap_or_default();
+    let mut page = match (old, number) {
+        (Some(old), _) => old.record.clone(),
+        (None, PageId::Wide(_)) => Page::default(),
+        (None, PageId::Dense(_)) => brought_over(core, job, number),
+    };
+    let mut bytes = page.bytes(number);
+    let mut whole = true;
+    let under: Vec<Guard> = under(core, id, job, number);
     let mut rentals: BTreeSet<Guard> = BTreeSet::new();
     let mut changed = false;
     let mut machines = BTreeSet::new();
     for (task, entry) in changes {
-        let slot = *task as usize % core.replica.page_len;
+        let slot = layout.slot(number, *task);
         let before = page.get(slot);
         // Another controller may have recorded the same exit, and the task's next start, since
         // this was planned.
@@ -339,9 +368,17 @@
             needed.extend(core.machine_guard(machine));
         }
         let more = needed.iter().filter(|g| !rentals.contains(g)).count();
-        if rentals.len() + more + 3 > most_guards {
+        if rentals.len() + more + 3 + under.len() > most_guards {
+            whole = false;
             continue; // more than a transaction can guard: the rest goes with the next
         }
+        if let Entry::Placed { machine, .. } = entry {
+            bytes += entry_bytes(number, machine);
+            if bytes > layout.value_bytes {
+                whole = false;
+                continue; // more than a value takes: the rest goes when some of these are done
+            }
+        }
         rentals.extend(needed);
         if let Entry::Placed { machine, .. } = entry {
             machines.insert(machine.clone());
@@ -371,19 +408,63 @@
             mark,
         });
     }
+    guards.extend(under);
     guards.extend(rentals);
+    let key = page_key(id, number);
+    let op = match number {
+        PageId::Wide(_) => Op::set(key, &page),
+        PageId::Dense(_) => Op::set(key, &page.to_dense()),
+    };
     Some(Dirty {
         job: id.to_owned(),
         number,
-        op: Op::set(page_key(id, number), &page),
+        op,
         page,
         guards,
         starts,
         machines,
         gang: job.record.spec.is_gang(),
+        whole,
     })
 }
 
+/// A dense page begins with what the wide ones say of its tasks.
+fn brought_over(core: &Core, job: &Job, page: PageId) -> Page {
+    let (first, count) = core.replica.layout.span(page);
+    let tasks = first..first.saturating_add(count as u32);
+    let tasks = tasks.take_while(|task| *task < job.record.spec.tasks);
+    let mut entries: Vec<Entry> = tasks
+        .map(|task| job.entry(&core.replica.layout, task))
+        .collect();
+    while entries.last() == Some(&Entry::default()) {
+        entries.pop();
+    }
+    Page(entries)
+}
+
+/// What a page follows from beside its own mark. One that is brought over: the wide pages that it
+/// overrules, which a process that ended may yet change by a transaction on its way. A wide one, as
+/// long as there may be processes that know no other: that dense pages have not begun.
+fn under(core: &Core, id: &str, job: &Job, page: PageId) -> Vec<Guard> {
+    let replica = &core.replica;
+    match page {
+        PageId::Dense(_) if !job.pages.contains_key(&page) => {
+            let wides = replica.layout.wides_under(page).map(PageId::Wide);
+            let guard = |wide| Guard {
+                k: page_key(id, wide),
+                mark: job.page_mark(wide),
+            };
+            wides.map(guard).collect()
+        }
+        PageId::Wide(_) if replica.layout.uses_dense() => {
+            let mark = replica.forms.as_ref().map_or(0, |f| f.mark);
+            let k = FORMS_KEY.into();
+            vec![Guard { k, mark }]
+        }
+        _ => Vec::new(),
+    }
+}
+
 /// A gang whose planned start lost a machine before it was written is planned anew as a whole: the
 /// rest would gather, wait for the missing task and fail.
 fn withdraw_broken_gangs(core: &mut Core) {
@@ -465,9 +546,9 @@
 
 /// Drops pages left behind by ended jobs, when the budget has room.
 async fn drop_orphans(node: &Arc<Node>) {
-    let most = node.settings.params.state.txn_ops;
+    let most = node.settings.txn_ops();
     let spare = node.state.writes_left(Need::Own) / 2;
-    let keys: Vec<(String, usize)> = {
+    let keys: Vec<(String, PageId)> = {
         let core = node.core();
         let known_over = |id: &str| core.replica.ended(id).is_some();
         core.replica
@@ -724,7 +805,7 @@
 
     /// A job with a task on vm-1, which is ours.
     fn core() -> (Member, Core) {
-        let mut core = Core::new(8, Instant::now());
+        let mut core = Core::new(crate::jobs::pages::tests::wide(8), Instant::now());
         let me = Member {
             name: "me".into(),
             incarnation: 1,
@@ -780,7 +861,7 @@
     fn the_largest_array_fits_its_records() {
         let settings_value = 8 * 1024;
         let page_len = settings_value / 48;
-        let mut core = Core::new(page_len, Instant::now());
+        let mut core = Core::new(crate::jobs::pages::tests::wide(page_len), Instant::now());
         let me = Member {
             name: "me".into(),
             incarnation: 1,
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod mesh;
 mod node;
+mod pipelines;
 mod placement;
 mod policy;
 mod renting;
@@ -129,6 +130,7 @@
     tracing::info!(incarnation = node.me.incarnation, "starting");
     tokio::spawn(state::follow::run(node.clone()));
     tokio::spawn(state::follow::serve_syncs(node.clone()));
+    tokio::spawn(pipelines::service::run(node.clone()));
     tokio::spawn(membership::run(node.clone()));
     tokio::spawn(mesh::serve(node.clone(), mesh_listener));
     tokio::spawn(mesh::ask(node.clone()));
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,12 +1,13 @@
 //! Who is there and who leads: a leased presence key for each node, a leased key for the leader,
 //! and the takeover of every machine by a new leader.
 
+pub mod forms;
 pub mod probe;
 pub mod shares;
 
-use crate::jobs::JobSpec;
+use crate::jobs::JobRecord;
 use crate::node::{Core, Node, age_s, wall_ms};
-use crate::placement::views::{due_after, kinds_for, room_of};
+use crate::placement::views::{due_after, kinds_for, room_of, urgency_of};
 use crate::placement::{By, Need};
 use crate::state::budget::Need as Budget;
 use crate::state::replica::{LeaderRecord, PresenceRecord};
@@ -73,7 +74,10 @@
                 tracing::info!("the presence lease is over");
                 node.core().standing.lease = None;
             }
-            Ok(()) => campaign(node, lease).await,
+            Ok(()) => {
+                campaign(node, lease).await;
+                forms::keep(node).await;
+            }
             Err(_) => {}
         },
     }
@@ -107,6 +111,7 @@
     let record = PresenceRecord {
         incarnation: node.me.incarnation,
         lease,
+        forms: forms::CAN,
     };
     let put = leased(presence_key(me), &record, lease);
     if node.state.transact(&[], &[put]).await.is_ok() {
@@ -191,11 +196,18 @@
 
 /// Machines that so many tasks of a job would fill at once, of the kind that they most need. What
 /// has time need not all run at once.
-fn weight(node: &Node, core: &Core, spec: &JobSpec, tasks: u32, age: f64) -> Option<(String, f64)> {
+fn weight(
+    node: &Node,
+    core: &Core,
+    record: &JobRecord,
+    tasks: u32,
+    age: f64,
+) -> Option<(String, f64)> {
+    let spec = &record.spec;
     let name = kinds_for(core, spec).into_iter().next()?;
     let kind = core.kind(&name)?;
     let machines = Need::share(&spec.need(), &room_of(kind)) * f64::from(tasks);
-    let (due, by) = due_after(node, core, spec, age);
+    let (due, by) = due_after(node, core, record, age);
     let at_once = match by {
         By::Start => 1.0,
         By::End => (core.duration(spec) * 1.5 / (due - age).max(0.1)).clamp(0.2, 1.0),
@@ -216,8 +228,8 @@
     for job in core.replica.jobs.values().filter(|j| !j.record.cancelled) {
         let spec = &job.record.spec;
         let left = spec.tasks - job.done.min(spec.tasks);
-        let age = age_s(job.record.accepted_ms, now_ms);
-        let Some((kind, machines)) = weight(node, core, spec, left, age) else {
+        let age = age_s(job.record.since_ms(), now_ms);
+        let Some((kind, machines)) = weight(node, core, &job.record, left, age) else {
             continue;
         };
         gangs |= spec.is_gang();
@@ -226,7 +238,7 @@
         }
         if let Some(member) = shares.owner(&job.record) {
             let levels = demand.entry((member.clone(), kind)).or_default();
-            let wanted = levels.entry(spec.urgency).or_default();
+            let wanted = levels.entry(urgency_of(core, spec)).or_default();
             match spec.spot {
                 true => wanted.any += machines,
                 false => wanted.ordinary += machines,
@@ -289,12 +301,13 @@
 
 /// Who should place a new job: of those whose machines it may use, the one whose room is least
 /// spoken for. Where a gang's controller has machines to spare, arrays fill them.
-pub fn choose_placer(node: &Node, core: &mut Core, spec: &JobSpec) -> Option<String> {
+pub fn choose_placer(node: &Node, core: &mut Core, record: &JobRecord) -> Option<String> {
+    let spec = &record.spec;
     let kept = core.replica.shares.as_ref()?;
     if !kept.record.may_choose(spec) {
         return None;
     }
-    let (kind, machines) = weight(node, core, spec, spec.tasks, 0.0)?;
+    let (kind, machines) = weight(node, core, record, spec.tasks, 0.0)?;
     let fresh = |s: &Spoken| s.at.elapsed() < SPOKEN_FOR && s.shares_mark == kept.mark;
     let mut spoken = match core.standing.spoken.take().filter(fresh) {
         Some(spoken) => spoken,
@@ -397,7 +410,7 @@
         });
         ops.push(Op::set(SHARES_KEY.into(), shares));
     }
-    let most = node.settings.params.state.txn_ops - 1;
+    let most = node.settings.txn_ops() - 1;
     let owners: BTreeMap<&str, &Member> = change
         .machines
         .iter()
@@ -485,12 +498,12 @@
         let shares =
             json!({"members":members,"teams":{},"gangs":[0],"had_gangs":false,"slots":[0]});
         core.replica.put("r/shares", &shares.to_string(), 5);
-        let job = |tasks: u32| -> JobSpec {
+        let job = |tasks: u32| -> JobRecord {
             let spec = json!({"nameId":"job-1","grist":"c","crew":"t","shape":"array",
                 "urgency":"standard","sacks":tasks,"cpus":1.0,"cards":0.0,"memGb":1.0,"mould":"i",
                 "pullGb":1.0,"together":false,"spread":false,"borrowed":true,"grindS":10.0,
                 "bankS":0.0,"bankWriteS":0.0});
-            serde_json::from_value(spec).unwrap()
+            serde_json::from_value(json!({"spec": spec, "accepted_ms": 0})).unwrap()
         };
         let chosen = [40, 4, 4, 4, 40, 8].map(|tasks| {
             let name = choose_placer(&node, &mut core, &job(tasks)).unwrap();
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,7 +4,7 @@
 use crate::counts::Counts;
 use crate::jobs::learned::{Failures, Learned};
 use crate::jobs::plans::Plans;
-use crate::jobs::{Entry, JobSpec};
+use crate::jobs::{Entry, JobSpec, Layout};
 use crate::membership::Standing;
 use crate::membership::shares::Member;
 use crate::placement::cache::Cache;
@@ -65,9 +65,13 @@
                 name: settings.member.clone(),
                 incarnation: rand::random::<u64>() >> 12,
             },
-            state: StateClient::new(settings.endpoints.state, settings.state_share()),
+            state: StateClient::new(
+                settings.endpoints.state,
+                settings.state_share(),
+                settings.next_share(),
+            ),
             cloud: CloudClient::new(settings.endpoints.cloud),
-            core: Mutex::new(Core::new(settings.page_len(), now)),
+            core: Mutex::new(Core::new(settings.layout(), now)),
             sync_waiters: Mutex::default(),
             sync_wanted: Notify::new(),
             stirred: Notify::new(),
@@ -150,9 +154,9 @@
 }
 
 impl Core {
-    pub fn new(page_len: usize, now: Instant) -> Self {
+    pub fn new(layout: Layout, now: Instant) -> Self {
         Self {
-            replica: Replica::new(page_len),
+            replica: Replica::new(layout),
             proof: None,
             loaded: false,
             standing: Standing::default(),
--- /dev/null
+++ b/src/pipelines/service.rs
@@ -0,0 +1,126 @@
+//! Releases jobs once all that they need is durably done, and ends those that were cancelled with
+//! what they need.
+
+use crate::jobs::{Final, Stored};
+use crate::membership;
+use crate::node::{Core, Node, wall_ms};
+use crate::state::budget::Need;
+use crate::state::{Guard, Op, final_key, job_key};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A change of one waiting job, under the guard of its record alone: that what it needs is done, or
+/// cancelled, is final.
+struct Step {
+    guard: Guard,
+    ops: Vec<Op>,
+}
+
+/// Those that this node sees to: its own, and after it ended a job any that are ready, so that the
+/// next stage need not wait until another node has read the log. Of two that release one the record's
+/// mark lets through a single one.
+fn steps(node: &Node, core: &mut Core, ended_here: bool, most: usize) -> Vec<Step> {
+    let replica = &core.replica;
+    let ours = |id: &str| {
+        let held = replica.pipelines.get(id);
+        held.is_some_and(|held| replica.owner_of(&held.record) == Some(&node.me))
+    };
+    let ready = replica.pipelines.ready();
+    let ready = ready.filter(|(id, _)| ended_here || ours(id));
+    let ready: Vec<_> = ready
+        .take(most)
+        .map(|(id, h)| (id.clone(), h.record.clone(), h.mark))
+        .collect();
+    let doomed = replica.pipelines.doomed().filter(|(id, _)| ours(id));
+    let doomed = doomed.take(most / 2).map(|(id, h)| (id.clone(), h.mark));
+    let doomed: Vec<(String, u64)> = doomed.collect();
+    let guard = |id: &str, mark| Guard {
+        k: job_key(id),
+        mark,
+    };
+    let mut steps = Vec::new();
+    for (id, mut record, mark) in ready {
+        record.released_ms = Some(wall_ms().max(record.accepted_ms));
+        record.placer = membership::choose_placer(node, core, &record);
+        steps.push(Step {
+            guard: guard(&id, mark),
+            ops: vec![Op::set(job_key(&id), &Stored::Open(record))],
+        });
+    }
+    for (id, mark) in doomed {
+        steps.push(Step {
+            guard: guard(&id, mark),
+            ops: vec![
+                Op::set(final_key(&id), &Final::Cancelled),
+                Op::drop(job_key(&id)),
+            ],
+        });
+    }
+    steps
+}
+
+/// One turn, as part of recording. False if something failed or went unanswered: then what stands
+/// must be read.
+pub async fn turn(node: &Arc<Node>, ended_here: bool) -> bool {
+    let most = node.settings.txn_ops();
+    loop {
+        // Users wait for each stage.
+        let room = node.state.writes_left(Need::User).min(most);
+        let mut steps = steps(node, &mut node.core(), ended_here, room);
+        let (mut guards, mut ops) = (Vec::new(), Vec::new());
+        let mut bytes = 0;
+        while let Some(step) = steps.first() {
+            let more: usize = step.ops.iter().map(Op::bytes).sum();
+            if ops.len() + step.ops.len() > room || bytes + more > crate::state::MOST_BYTES {
+                break;
+            }
+            let step = steps.remove(0);
+            bytes += more;
+            guards.push(step.guard);
+            ops.extend(step.ops);
+        }
+        if ops.is_empty() {
+            return true;
+        }
+        let Ok(ledger) = node.state.transact(&guards, &ops).await else {
+            return false;
+        };
+        node.core().apply(ops, ledger);
+        node.stirred.notify_one();
+    }
+}
+
+/// Reads how jobs ended that this process has not seen end. False if that cannot be told now: nothing
+/// is assumed of them then.
+pub async fn look_up_needs(node: &Node, ids: impl IntoIterator<Item = String>) -> bool {
+    for id in ids {
+        let Ok(Some(value)) = node.state.get(&final_key(&id)).await else {
+            return false;
+        };
+        let Ok(last) = serde_json::from_value::<Final>(value) else {
+            return false;
+        };
+        node.core().replica.remember_ended(&id, last);
+        node.stirred.notify_one();
+    }
+    true
+}
+
+const PAUSE: Duration = Duration::from_millis(400);
+/// Looked up at a time.
+const MOST_LOOKED_UP: usize = 4;
+
+/// After a start or a new reading of all records: what was over before is looked up, little by little.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(PAUSE).await;
+        let unknown = {
+            let core = node.core();
+            match core.loaded {
+                true => core.replica.unknown_needs(),
+                false => continue,
+            }
+        };
+        look_up_needs(&node, unknown.into_iter().take(MOST_LOOKED_UP)).await;
+    }
+}
--- /dev/null
+++ b/src/pipelines/tests.rs
@@ -0,0 +1,182 @@
+use super::paths::pulls;
+use crate::jobs::pages::tests::wide;
+use crate::state::Replica;
+use serde_json::{Value, json};
+
+/// A record of a job as it may be written, `due` seconds after 0.
+pub fn spec(id: &str, urgency: &str, due: Option<f64>) -> Value {
+    json!({"nameId":id,"grist":"c","crew":"t","shape":"array","urgency":urgency,"sacks":2,
+        "cpus":1.0,"cards":0.0,"memGb":1.0,"mould":"i","pullGb":1.0,"together":false,
+        "spread":false,"borrowed":true,"grindS":10.0,"bankS":0.0,"bankWriteS":0.0,"dueS":due})
+}
+
+fn open(replica: &mut Replica, id: &str, mark: u64) {
+    let record = json!({"spec": spec(id, "best_effort", None), "accepted_ms": 0});
+    replica.put(&format!("r/j/{id}"), &record.to_string(), mark);
+}
+
+fn held(replica: &mut Replica, id: &str, awaits: &[&str], due: Option<f64>, mark: u64) {
+    let urgency = if due.is_some() {
+        "urgent"
+    } else {
+        "best_effort"
+    };
+    let record = json!({"held": {"spec": spec(id, urgency, due), "accepted_ms": 0},
+        "awaits": awaits});
+    replica.put(&format!("r/j/{id}"), &record.to_string(), mark);
+}
+
+fn show(replica: &Replica) -> String {
+    let ids = |jobs: Vec<&String>| jobs.into_iter().cloned().collect::<Vec<_>>().join(" ");
+    let p = &replica.pipelines;
+    format!(
+        "open [{}] waiting [{}] ready [{}] cancelled [{}]\n",
+        ids(replica.jobs.keys().collect()),
+        ids(p.all().map(|(id, _)| id).collect()),
+        ids(p.ready().map(|(id, _)| id).collect()),
+        ids(p.doomed().map(|(id, _)| id).collect()),
+    )
+}
+
+/// Rules `too_early` and `orphaned`, on a diamond with a chain behind it: 1 before 2 and 3, both
+/// before 4, then 5. Whatever order the news come in, the same follows.
+#[test]
+fn a_job_waits_for_all_that_it_needs_and_is_cancelled_with_any_of_it() {
+    let diamond = |order: [u64; 5]| {
+        let mut replica = Replica::new(wide(8));
+        for number in order {
+            match number {
+                1 => open(&mut replica, "job-1", 11),
+                2 => held(&mut replica, "job-2", &["job-1"], None, 12),
+                3 => held(&mut replica, "job-3", &["job-1"], None, 13),
+                4 => held(&mut replica, "job-4", &["job-2", "job-3"], None, 14),
+                _ => held(&mut replica, "job-5", &["job-4"], Some(100.0), 15),
+            }
+        }
+        replica
+    };
+    let mut traces = Vec::new();
+    for order in [[1, 2, 3, 4, 5], [5, 4, 3, 2, 1], [3, 5, 1, 4, 2]] {
+        let mut trace = String::new();
+        let mut replica = diamond(order);
+        trace.push_str(&format!("accepted: {}", show(&replica)));
+        replica.remove("r/j/job-1", 21);
+        trace.push_str(&format!("1 is done: {}", show(&replica)));
+        open(&mut replica, "job-2", 22);
+        open(&mut replica, "job-3", 22);
+        trace.push_str(&format!("2, 3 released: {}", show(&replica)));
+        held(&mut replica, "job-2", &["job-1"], None, 12);
+        trace.push_str(&format!("an older record comes late: {}", show(&replica)));
+        replica.remove("r/j/job-2", 23);
+        trace.push_str(&format!("2 is done: {}", show(&replica)));
+        let record = json!({"spec": spec("job-3", "best_effort", None), "accepted_ms": 0,
+            "cancelled": true});
+        replica.put("r/j/job-3", &record.to_string(), 24);
+        trace.push_str(&format!("3 is cancelled: {}", show(&replica)));
+        replica.remove("r/j/job-4", 25);
+        trace.push_str(&format!("4 is ended so: {}", show(&replica)));
+        traces.push(trace);
+    }
+    assert!(traces.iter().all(|t| *t == traces[0]));
+    insta::assert_snapshot!(traces[0], @r#"
+    accepted: open [job-1] waiting [job-2 job-3 job-4 job-5] ready [] cancelled []
+    1 is done: open [] waiting [job-2 job-3 job-4 job-5] ready [job-2 job-3] cancelled []
+    2, 3 released: open [job-2 job-3] waiting [job-4 job-5] ready [] cancelled []
+    an older record comes late: open [job-2 job-3] waiting [job-4 job-5] ready [] cancelled []
+    2 is done: open [job-3] waiting [job-4 job-5] ready [] cancelled []
+    3 is cancelled: open [job-3] waiting [job-4 job-5] ready [] cancelled [job-4 job-5]
+    4 is ended so: open [job-3] waiting [job-5] ready [] cancelled [job-5]
+    "#);
+    // The first cancelled, before and after the others come.
+    for order in [[1, 2, 3, 4, 5], [5, 4, 3, 2, 1]] {
+        let mut replica = diamond(order);
+        let record = json!({"spec": spec("job-1", "best_effort", None), "accepted_ms": 0,
+            "cancelled": true});
+        replica.put("r/j/job-1", &record.to_string(), 21);
+        assert_eq!(replica.pipelines.doomed().count(), 4);
+        replica.remove("r/j/job-1", 22);
+        held(&mut replica, "job-6", &["job-5", "job-1"], None, 23);
+        assert!(replica.pipelines.is_doomed("job-6"), "it came afterwards");
+        assert_eq!(replica.pipelines.ready().count(), 0);
+    }
+}
+
+/// Rules `forgotten` and `too_early`: a record that cannot be read is known, and never one that waits
+/// for nothing. And a long chain is walked without a stack.
+#[test]
+fn what_cannot_be_read_is_known_and_chains_may_be_long() {
+    let mut replica = Replica::new(wide(8));
+    let mut record = json!({"held": {"spec": spec("job-7", "urgent", None), "accepted_ms": 0}});
+    for awaits in [json!("job-1"), json!([1]), Value::Null] {
+        record["awaits"] = awaits;
+        replica.put("r/j/job-7", &record.to_string(), 5);
+        assert!(replica.jobs.is_empty() && replica.is_unreadable("job-7"));
+    }
+    open(&mut replica, "job-100000", 10);
+    for n in 100_001..150_000_u64 {
+        let before = format!("job-{}", n - 1);
+        held(&mut replica, &format!("job-{n}"), &[&before], None, n);
+    }
+    let takes = |_: &_| 1.0;
+    assert_eq!(pulls(&replica.pipelines, takes, takes).len(), 49_999);
+    assert_eq!(replica.unknown_before("job-149999").len(), 0);
+    let record = json!({"spec": spec("job-100000", "urgent", None), "accepted_ms": 0,
+        "cancelled": true});
+    replica.put("r/j/job-100000", &record.to_string(), 200_000);
+    assert_eq!(replica.pipelines.doomed().count(), 49_999);
+}
+
+/// What ended before this process began is looked up, never assumed.
+#[test]
+fn what_ended_before_the_records_were_read_is_asked_for() {
+    let mut replica = Replica::new(wide(8));
+    held(&mut replica, "job-2", &["job-1"], None, 12);
+    held(&mut replica, "job-3", &["job-2"], None, 13);
+    assert_eq!(replica.unknown_before("job-3"), ["job-1"]);
+    assert_eq!(replica.pipelines.ready().count(), 0);
+    replica.remember_ended("job-1", crate::jobs::Final::Done);
+    assert!(replica.unknown_before("job-3").is_empty());
+    insta::assert_snapshot!(show(&replica), @r#"open [] waiting [job-2 job-3] ready [job-2] cancelled []"#);
+}
+
+/// A pipeline's deadline and priority stand on its last job; what comes before has the deadline less
+/// the longest path behind it. A later submission tightens it.
+#[test]
+fn earlier_jobs_have_the_deadline_less_what_is_behind_them() {
+    let mut replica = Replica::new(wide(8));
+    open(&mut replica, "job-1", 11);
+    held(&mut replica, "job-2", &["job-1"], None, 12);
+    held(&mut replica, "job-3", &["job-1"], None, 13);
+    let takes = |record: &crate::jobs::JobRecord| match record.spec.id.as_str() {
+        "job-3" => 30.0,
+        _ => 10.0,
+    };
+    let mut trace = String::new();
+    let mut say = |what: &str, replica: &Replica| {
+        let pulls = pulls(&replica.pipelines, takes, |_| 1.5);
+        let mut lines: Vec<_> = pulls.into_iter().collect();
+        lines.sort_by(|a, b| a.0.cmp(&b.0));
+        trace.push_str(&format!("{what}\n"));
+        for (id, p) in lines {
+            let (due, late) = (p.finish_ms / 1000.0, p.late_ms / 1000.0);
+            trace.push_str(&format!("  {id}: {:?}, by {due} or {late}\n", p.urgency));
+        }
+    };
+    say("without an end", &replica);
+    held(&mut replica, "job-4", &["job-2", "job-3"], Some(100.0), 14);
+    say("with its end", &replica);
+    held(&mut replica, "job-5", &["job-2"], Some(50.0), 15);
+    say("with a second one", &replica);
+    insta::assert_snapshot!(trace, @r#"
+    without an end
+      job-1: BestEffort, by inf or inf
+    with its end
+      job-1: Urgent, by 60 or 110
+      job-2: Urgent, by 90 or 140
+      job-3: Urgent, by 90 or 140
+    with a second one
+      job-1: Urgent, by 30 or 55
+      job-2: Urgent, by 40 or 65
+      job-3: Urgent, by 90 or 140
+    "#);
+}
--- a/src/placement/cache.rs
+++ b/src/placement/cache.rs
@@ -7,11 +7,12 @@
 use crate::fleet::Use;
 use crate::jobs::{Entry, JobRecord, JobSpec};
 use crate::membership::shares::Member;
-use crate::node::{Core, age_s};
+use crate::node::{Core, Node, age_s};
+use crate::pipelines::paths::{Pull, pulls};
 use crate::workers::{Live, TaskId, TaskState};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The expected boot time over the catalogue's.
 pub const BOOT: f64 = 1.1;
@@ -65,6 +66,9 @@
     kept: HashMap<String, (Vec<Arc<str>>, Instant)>,
     /// GPU machines that work without GPUs may fill: more than GPU work needs.
     pub opened: HashSet<String>,
+    /// What jobs that wait ask of those that they need.
+    pub pulls: HashMap<String, Pull>,
+    pulled: Option<(u64, Instant)>,
 }
 
 /// A task that runs on past its time takes about this part of what it has run: the owners'
@@ -89,6 +93,8 @@
             kinds_known: 0,
             kept: HashMap::new(),
             opened: HashSet::new(),
+            pulls: HashMap::new(),
+            pulled: None,
         }
     }
 
@@ -172,6 +178,42 @@
     }
 }
 
+/// How often what pipelines ask is worked out with what was learned meanwhile.
+const PULL_EVERY: Duration = Duration::from_secs(3);
+
+/// Works out what jobs that wait ask of others, when there were changes and now and then.
+pub fn refresh_pulls(node: &Node, core: &mut Core, now: Instant) {
+    let version = core.replica.pipelines.version;
+    let fresh = |(at, since): (u64, Instant)| {
+        at == version && now.saturating_duration_since(since) < PULL_EVERY
+    };
+    if core.views.pulled.is_some_and(fresh) {
+        return;
+    }
+    let times = |record: &JobRecord| {
+        let objectives = node.settings.params.objectives.iter();
+        let of_class = objectives.filter(|o| o.class == record.spec.class);
+        of_class.filter_map(|o| o.times).fold(1.0, f64::max)
+    };
+    let takes = |record: &JobRecord| takes_s(node, core, &record.spec);
+    let pulls = pulls(&core.replica.pipelines, takes, times);
+    core.views.pulls = pulls;
+    core.views.pulled = Some((version, now));
+}
+
+/// From a job's release to its end, if there is room: the order goes out with a report's answer, the
+/// image is fetched, it runs, and its end is recorded.
+pub fn takes_s(node: &Node, core: &Core, spec: &JobSpec) -> f64 {
+    let kinds = kinds_for(core, spec);
+    let kind = kinds.first().and_then(|k| core.kind(k));
+    let rate = kind.map_or(f64::INFINITY, |k| k.fetch_gb_per_s.max(0.001));
+    let told = node.settings.params.workers.report_s * 0.5 + STAGE_TAKES_S;
+    told + spec.image_gb / rate + core.duration(spec)
+}
+
+/// Recording a start and an end.
+const STAGE_TAKES_S: f64 = 1.0;
+
 /// Brings the cache up to date with all that changed. Returns how much was looked at anew.
 pub fn refresh(core: &mut Core, me: &Member, now: Instant, now_ms: u64) -> u64 {
     let mut cache = std::mem::replace(&mut core.views, Cache::new(now));
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -55,6 +55,7 @@
             return Duration::ZERO;
         }
         clear_gone(node, &mut core);
+        cache::refresh_pulls(node, &mut core, now);
         core.counts.views += cache::refresh(&mut core, &node.me, now, now_ms);
         let mut views = views::build(node, &mut core, now, now_ms);
         // The first event waits for the first job, and is then at once.
@@ -105,7 +106,9 @@
         );
     }
     let running = core.replica.jobs.values().filter(|j| j.placed > 0);
-    let lowest = running.map(|j| j.record.spec.urgency).min();
+    let lowest = running
+        .map(|j| views::urgency_of(core, &j.record.spec))
+        .min();
     let lowest = lowest.unwrap_or(Urgency::Critical);
     let may = |wait: &&now::Waits| {
         let claim = &views.claims[wait.job];
@@ -337,7 +340,7 @@
     /// its plan and lost its stop: it was recorded, ran to its end, and the gang waited for it.
     #[test]
     fn a_planned_start_is_taken_back_and_a_recorded_one_stopped() {
-        let mut core = Core::new(8, Instant::now());
+        let mut core = Core::new(crate::jobs::pages::tests::wide(8), Instant::now());
         let job = json!({"spec": {"nameId":"job-1","grist":"c","crew":"t","shape":"array",
             "urgency":"standard","sacks":2,"cpus":1.0,"cards":0.0,"memGb":1.0,"mould":"i",
             "pullGb":1.0,"together":false,"spread":false,"borrowed":true,"grindS":10.0,
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -3,7 +3,7 @@
 use super::cache::{BOOT, Progress, spec_of, tasks_on};
 use super::preempt::{Claim, Occupant};
 use super::{By, JobView, MachineView, Need};
-use crate::jobs::{Entry, JobSpec, Shape};
+use crate::jobs::{Entry, JobRecord, JobSpec, Shape, Urgency};
 use crate::membership::shares::spot_of;
 use crate::node::{Core, Node, age_s};
 use crate::policy::JobFacts;
@@ -88,17 +88,33 @@
 /// A job's time, in seconds after its arrival: the earliest of the aims on its class, and its own
 /// deadline, that it can still keep. One that has missed them all counts as undated: it no longer
 /// goes ahead of work that can still be in time.
-pub fn due_after(node: &Node, core: &Core, spec: &JobSpec, age: f64) -> (f64, By) {
-    dues(node, core, spec, age)[0]
+pub fn due_after(node: &Node, core: &Core, record: &JobRecord, age: f64) -> (f64, By) {
+    dues(node, core, record, age)[0]
+}
+
+/// A job's urgency, or a higher one of a job that waits for it.
+pub fn urgency_of(core: &Core, spec: &JobSpec) -> Urgency {
+    let pull = core.views.pulls.get(&spec.id);
+    pull.map_or(spec.urgency, |p| p.urgency.max(spec.urgency))
 }
 
 /// All times that a job can still keep, the earliest first.
-fn dues(node: &Node, core: &Core, spec: &JobSpec, age: f64) -> Vec<(f64, By)> {
+fn dues(node: &Node, core: &Core, record: &JobRecord, age: f64) -> Vec<(f64, By)> {
+    let spec = &record.spec;
     let expected = core.duration(spec);
     let mut aims: Vec<(f64, By)> = Vec::new();
-    if let Some(due) = spec.deadline_s {
+    let due = record.deadline_s();
+    if let Some(due) = due {
         aims.push((due, By::End));
     }
+    // What waits for it must be in time, too.
+    if let Some(pull) = core.views.pulls.get(&spec.id) {
+        for at_ms in [pull.finish_ms, pull.late_ms] {
+            if at_ms.is_finite() {
+                aims.push(((at_ms - record.since_ms() as f64) / 1000.0, By::End));
+            }
+        }
+    }
     for objective in &node.settings.params.objectives {
         if objective.class != spec.class {
             continue;
@@ -107,8 +123,8 @@
             ("wait", Some(within), _) => aims.push((within, By::Start)),
             ("finished", Some(within), _) => aims.push((within, By::End)),
             ("deadline", _, Some(times)) => {
-                if let Some(due) = spec.deadline_s {
-                    aims.push((due * times, By::End));
+                if let (Some(due), Some(whole)) = (due, spec.deadline_s) {
+                    aims.push((due + whole * (times - 1.0), By::End));
                 }
             }
             _ => {}
@@ -186,10 +202,11 @@
             continue;
         }
         let spec = &job.record.spec;
-        let age = age_s(job.record.accepted_ms, now_ms);
+        let age = age_s(job.record.since_ms(), now_ms);
         let size = f64::from(spec.tasks) * progress.share;
         let begin = begin_within(spec, size, largest[&spec.class]);
-        let Some(mut view) = job_view(node, core, spec, progress, &views.team_room, (age, begin))
+        let rooms = &views.team_room;
+        let Some(mut view) = job_view(node, core, &job.record, progress, rooms, (age, begin))
         else {
             continue;
         };
@@ -200,7 +217,7 @@
         views.pools.push(progress.pool.clone());
         views.teams.push(spec.team.clone());
         views.claims.push(Claim {
-            urgency: spec.urgency,
+            urgency: urgency_of(core, spec),
             guaranteed,
         });
         views
@@ -214,18 +231,19 @@
 fn job_view(
     node: &Node,
     core: &Core,
-    spec: &JobSpec,
+    record: &JobRecord,
     progress: &Progress,
     rooms: &HashMap<String, Need>,
     (age, begin_within): (f64, f64),
 ) -> Option<JobView> {
+    let spec = &record.spec;
     // A gang restarts only when every task of the attempt before is gone; one that completed
     // only needs its other tasks to report the same.
     let gang = spec.shape == Shape::Gang && progress.done == 0;
     if gang && progress.placed > 0 {
         return None;
     }
-    let dues = dues(node, core, spec, age);
+    let dues = dues(node, core, record, age);
     let (due, by) = dues[0];
     let begun = progress.done + progress.placed;
     let soonest = |due: f64| match begun {
@@ -250,7 +268,7 @@
         begun,
         arrived: -age,
         guaranteed: false,
-        urgency: spec.urgency,
+        urgency: urgency_of(core, spec),
         due: soonest(due),
         next_due: soonest(next_due),
         by,
@@ -320,7 +338,7 @@
         there.push(Occupant {
             attempt,
             need: spec.need(),
-            urgency: spec.urgency,
+            urgency: urgency_of(core, spec),
             borrowing: borrowing(&spec.team),
             lost_s: if saves { spec.save_s } else { ran },
             grace_s: if saves { spec.save_s * 1.5 + 1.0 } else { 0.0 },
--- a/src/renting/decide.rs
+++ b/src/renting/decide.rs
@@ -68,6 +68,7 @@
     let mut record = OutlookRecord {
         at_ms: now_ms,
         puts_per_s: 0.0,
+        fallen: false,
         kinds: outlooks(node, core, views, &mapping),
     };
     for (kind, outlook) in &mut record.kinds {
@@ -88,7 +89,11 @@
 /// controller may have most of the starts for a while. Each keeps its own part, and a reserve for
 /// what it may need before it publishes again.
 fn part_writes(node: &Node, core: &Core, now_ms: u64) {
-    let part = node.settings.state_share().writes;
+    // One node's refusals tell all of them that the limits fell.
+    if core.replica.outlooks.values().any(|o| o.record.fallen) {
+        node.state.fall();
+    }
+    let part = node.state.part().writes;
     let (mut spare, mut hungry) = (0.0, 1.0);
     for (name, kept) in &core.replica.outlooks {
         let fresh = age_s(kept.record.at_ms, now_ms) < node.policy.period_s * 2.0;
@@ -305,7 +310,7 @@
     let jobs = core.replica.jobs.values();
     jobs.map(|job| &job.record)
         .filter(|r| core.replica.owner_of(r) == Some(&node.me))
-        .filter(|r| !r.cancelled && age_s(r.accepted_ms, now_ms) < period_s)
+        .filter(|r| !r.cancelled && age_s(r.since_ms(), now_ms) < period_s)
         .filter(|r| kinds_for(core, &r.spec).first().is_some_and(|k| k == kind))
         .map(|r| r.spec.tasks)
         .sum()
--- a/src/renting/give_back.rs
+++ b/src/renting/give_back.rs
@@ -51,7 +51,7 @@
     names: &[String],
     change: impl FnMut(&mut Rented) -> bool,
 ) -> Vec<String> {
-    let most = node.settings.params.state.txn_ops;
+    let most = node.settings.txn_ops();
     let (mut guards, mut ops, mut rentals) = (Vec::new(), Vec::new(), Vec::new());
     let written: Vec<String> = {
         let core = node.core();
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -49,6 +49,9 @@
     /// What it wrote of late, so that others may use what it leaves of its part.
     #[serde(default)]
     pub puts_per_s: f64,
+    /// It saw that the state service's lower limits hold.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub fallen: bool,
     pub kinds: BTreeMap<String, Outlook>,
 }
 
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -62,6 +62,7 @@
     };
     let mut record = record;
     record.puts_per_s = node.state.puts_rate();
+    record.fallen = node.state.has_fallen();
     let put = Op::set(outlook_key(&node.me.name), &record);
     if let Ok(ledger) = node.state.transact(&[], std::slice::from_ref(&put)).await {
         let mut core = node.core();
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! The settings file that the platform hands over: read, checked, named by field when wrong.
 
+use crate::jobs::pages::Layout;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -39,6 +40,8 @@
 
 #[derive(Debug, Clone, Deserialize)]
 pub struct Peer {
+    #[serde(default)]
+    pub member: String,
     pub addr: SocketAddr,
 }
 
@@ -98,6 +101,34 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// What will hold from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// The state service's limits to come; what is absent stays as it is.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+pub struct NextLimits {
+    #[serde(default)]
+    pub rps: Option<f64>,
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateParams {
+    fn next(&self) -> NextLimits {
+        self.next.unwrap_or_default()
+    }
+
+    /// Changes that every transaction must do with, now and later.
+    pub fn least_ops(&self) -> usize {
+        let next = self.next().txn_ops.unwrap_or(self.txn_ops);
+        self.txn_ops.min(next)
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -140,8 +171,33 @@
         }
     }
 
+    /// This node's part once the lower limits hold.
+    pub fn next_share(&self) -> StateShare {
+        let nodes = f64::from(self.params.size);
+        let (now, next) = (self.state_share(), self.params.state.next());
+        let least = |now: f64, next: Option<f64>| next.map_or(now, |n| now.min(n / nodes));
+        StateShare {
+            requests: least(now.requests, next.rps),
+            writes: least(now.writes, next.write_rps),
+        }
+    }
+
+    /// Bytes that every new value must do with: the limit may fall at any moment.
     pub fn value_bytes(&self) -> usize {
-        (self.params.state.value_kb * 1024.0) as usize
+        let state = &self.params.state;
+        let next = state.next().value_kb.unwrap_or(state.value_kb);
+        (state.value_kb.min(next) * 1024.0) as usize
+    }
+
+    /// Changes of a transaction, likewise.
+    pub fn txn_ops(&self) -> usize {
+        self.params.state.least_ops()
+    }
+
+    /// The names of all controllers that there are to be.
+    pub fn members(&self) -> Vec<&str> {
+        let peers = self.peers.iter().map(|p| p.member.as_str());
+        peers.chain([self.member.as_str()]).collect()
     }
 
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
@@ -209,6 +265,22 @@
                 format!("must be at least 4, is {}", p.state.txn_ops),
             ));
         }
+        let next = p.state.next();
+        for (field, value) in [
+            ("params.state.next.rps", next.rps),
+            ("params.state.next.write_rps", next.write_rps),
+            ("params.state.next.value_kb", next.value_kb),
+        ] {
+            if let Some(value) = value.filter(|v| !v.is_finite() || *v <= 0.0) {
+                return Err((field, format!("must be above 0, is {value}")));
+            }
+        }
+        if let Some(ops) = next.txn_ops.filter(|ops| *ops < 4) {
+            return Err((
+                "params.state.next.txn_ops",
+                format!("must be at least 4, is {ops}"),
+            ));
+        }
         if p.limits.sockets < 32 {
             return Err((
                 "params.limits.sockets",
@@ -249,10 +321,22 @@
         Duration::from_secs_f64((w.cancel_s - w.lease_s * 1.001 - margin).max(0.5))
     }
 
-    /// Tasks on one progress page, so that the page fits a value of the state service.
-    pub fn page_len(&self) -> usize {
-        // A placed task is written as [attempt,"machine",session]: 48 bytes cover long names.
-        (self.value_bytes() / 48).clamp(8, 512)
+    /// How jobs are divided into pages of progress.
+    pub fn layout(&self) -> Layout {
+        let state = &self.params.state;
+        // A placed task is written as [attempt,"machine",session]: 48 bytes cover long names. The
+        // version before reckoned with the limit of now alone, and pages of both must agree.
+        let wide = ((state.value_kb * 1024.0) as usize / 48).clamp(8, 512);
+        // Of dense pages the names of machines are the most, and what does not fit waits.
+        let dense = (self.value_bytes() / 16).clamp(8, 512);
+        Layout {
+            wide,
+            dense: match self.value_bytes() < (state.value_kb * 1024.0) as usize {
+                true => dense.min(wide),
+                false => wide,
+            },
+            value_bytes: self.value_bytes(),
+        }
     }
 }
 
@@ -295,7 +379,7 @@
             trace.push_str(&format!(
                 "{machines} machines: {records} records, {} tasks a page, taken over within {:.1} s \
                  of {lease_s}, answers workers for {:.1} s without state\n",
-                s.page_len(),
+                s.layout().wide,
                 takeover.as_secs_f64(),
                 s.blind_limit().as_secs_f64()
             ));
@@ -315,12 +399,24 @@
             refused(&good.replace("\"sockets\":3663", "\"sockets\":3")),
             refused(&good.replace("\"lease_s\":31.0", "\"lease_s\":-1.0")),
             refused(&good.replace("\"txn_ops\":24", "\"txn_ops\":1")),
+            refused(&good.replace("\"txn_ops\":24", "\"txn_ops\":24,\"next\":{\"txn_ops\":1}")),
+            refused(&good.replace(
+                "\"txn_ops\":24",
+                "\"txn_ops\":24,\"next\":{\"value_kb\":0.0}",
+            )),
+            refused(&good.replace(
+                "\"txn_ops\":24",
+                "\"txn_ops\":24,\"next\":{\"write_rps\":-2}",
+            )),
         ];
         insta::assert_snapshot!(lines.join("\n"), @r#"
         settings s.json: field `params.size`: must be at least 1
         settings s.json: field `params.limits.sockets`: must be at least 32, is 3
         settings s.json: field `params.workers.lease_s`: must be above 0, is -1
         settings s.json: field `params.state.txn_ops`: must be at least 4, is 1
+        settings s.json: field `params.state.next.txn_ops`: must be at least 4, is 1
+        settings s.json: field `params.state.next.value_kb`: must be above 0, is 0
+        settings s.json: field `params.state.next.write_rps`: must be above 0, is -2
         "#);
     }
 }
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// Nothing is left: the service refused what we thought we had.
+    pub fn drain(&mut self, now: Instant) {
+        self.refill(now);
+        self.level = self.level.min(0.0);
+    }
+
     pub fn take(&mut self, count: f64, now: Instant) {
         self.refill(now);
         self.level -= count;
--- a/src/state/client.rs
+++ b/src/state/client.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use serde_json::value::RawValue;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -141,7 +142,10 @@
 
 pub struct StateClient {
     http: Client,
+    /// Our part of the limits, and of those that will hold from some moment on.
     share: StateShare,
+    next: StateShare,
+    falls: Mutex<Falls>,
     writes: Mutex<Budget>,
     pub used: Used,
     /// When the rate of puts was last taken, and how many there had been.
@@ -158,14 +162,38 @@
     pub followed_bytes: AtomicU64,
 }
 
+/// Whether the lower limits hold by now. Nobody says so: refusals show it. A single one may be a burst
+/// of several nodes at once; so many within this time are none.
+#[derive(Debug, Default)]
+struct Falls {
+    refusals: VecDeque<Instant>,
+    fallen: bool,
+}
+
+const REFUSALS: usize = 3;
+const REFUSALS_WITHIN: Duration = Duration::from_secs(10);
+
+impl Falls {
+    fn note_refusal(&mut self, now: Instant) -> bool {
+        self.refusals.push_back(now);
+        let old = |at: &Instant| now.saturating_duration_since(*at) > REFUSALS_WITHIN;
+        while self.refusals.front().is_some_and(old) {
+            self.refusals.pop_front();
+        }
+        self.refusals.len() >= REFUSALS
+    }
+}
+
 fn count(counter: &AtomicU64, by: usize) {
     counter.fetch_add(by as u64, Ordering::Relaxed);
 }
 
 impl StateClient {
-    pub fn new(addr: SocketAddr, share: StateShare) -> Self {
+    pub fn new(addr: SocketAddr, share: StateShare, next: StateShare) -> Self {
         Self {
             http: Client::new(addr, 6),
+            next,
+            falls: Mutex::default(),
             writes: Mutex::new(Budget::new(share.writes, Instant::now())),
             share,
             used: Used::default(),
@@ -176,11 +204,11 @@
     /// The least time between two readings of the log, and between two readings that polls wait
     /// for: each change of any node would else cost every node a request.
     pub fn follow_gap(&self) -> Duration {
-        Duration::from_secs_f64(1.0 / (self.share.requests * FOLLOW_PART).max(1.0))
+        Duration::from_secs_f64(1.0 / (self.part().requests * FOLLOW_PART).max(1.0))
     }
 
     pub fn sync_gap(&self) -> Duration {
-        Duration::from_secs_f64(1.0 / (self.share.requests * SYNC_PART).max(1.0))
+        Duration::from_secs_f64(1.0 / (self.part().requests * SYNC_PART).max(1.0))
     }
 
     /// How many puts and deletes this node may send now.
@@ -201,6 +229,41 @@
         writes.set_rate(rate, Instant::now());
     }
 
+    /// Our part of the limits, as far as is known by now.
+    pub fn part(&self) -> StateShare {
+        match self.has_fallen() {
+            true => self.next,
+            false => self.share,
+        }
+    }
+
+    /// Whether the lower limits were seen to hold, here or by another node.
+    pub fn has_fallen(&self) -> bool {
+        self.falls.lock().unwrap().fallen
+    }
+
+    /// From now on the lower limits are kept to; they do not rise again.
+    pub fn fall(&self) {
+        let lower =
+            self.next.writes < self.share.writes || self.next.requests < self.share.requests;
+        if !lower || std::mem::replace(&mut self.falls.lock().unwrap().fallen, true) {
+            return;
+        }
+        tracing::info!("the state service's lower limits hold");
+        let mut writes = self.writes.lock().unwrap();
+        let rate = writes.rate().min(self.next.writes);
+        writes.set_rate(rate, Instant::now());
+    }
+
+    /// More than the service takes now: what is left at once here was not there.
+    fn note_refusal(&self) {
+        let now = Instant::now();
+        self.writes.lock().unwrap().drain(now);
+        if self.falls.lock().unwrap().note_refusal(now) {
+            self.fall();
+        }
+    }
+
     /// Puts a second since the last call.
     pub fn puts_rate(&self) -> f64 {
         let now = Instant::now();
@@ -261,10 +324,16 @@
             }
             400 if body_says(&body, "no such lease") => Err(TxnError::NoLease),
             400 => {
+                // What this version writes fits both limits; what does not was written before.
+                self.fall();
                 tracing::error!(answer = %String::from_utf8_lossy(&body), "state refused a transaction as malformed");
                 Err(TxnError::Malformed)
             }
-            429 | 503 => Err(TxnError::Refused),
+            429 => {
+                self.note_refusal();
+                Err(TxnError::Refused)
+            }
+            503 => Err(TxnError::Refused),
             _ => Err(TxnError::Unknown),
         }
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,6 +5,7 @@
 pub mod follow;
 pub mod replica;
 
+use crate::jobs::PageId;
 pub use client::{Guard, Op, StateClient, TxnError};
 pub use replica::Replica;
 
@@ -18,8 +19,11 @@
 pub fn job_key(id: &str) -> String {
     format!("r/j/{id}")
 }
-pub fn page_key(id: &str, page: usize) -> String {
-    format!("r/p/{id}/{page}")
+pub fn page_key(id: &str, page: PageId) -> String {
+    match page {
+        PageId::Wide(n) => format!("r/p/{id}/{n}"),
+        PageId::Dense(n) => format!("r/q/{id}/{n}"),
+    }
 }
 pub fn rental_key(name: &str) -> String {
     format!("r/m/{name}")
@@ -30,6 +34,8 @@
 pub fn outlook_key(member: &str) -> String {
     format!("r/o/{member}")
 }
+/// What all controllers can do; see `membership::forms`.
+pub const FORMS_KEY: &str = "r/forms";
 pub const LEADER_KEY: &str = "r/leader";
 pub const SHARES_KEY: &str = "r/shares";
 pub fn final_key(id: &str) -> String {
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -3,8 +3,10 @@
 
 use super::client::{Change, Pair};
 use crate::fleet::Fleet;
-use crate::jobs::{Entry, Final, JobRecord, Page, Stage};
+use crate::jobs::{Entry, Final, JobRecord, Layout, Page, PageId, Stage, Stored};
+use crate::membership::forms::Forms;
 use crate::membership::shares::{Member, Shares};
+use crate::pipelines::{Need, Pipelines};
 use crate::renting::OutlookRecord;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -13,6 +15,9 @@
 pub struct PresenceRecord {
     pub incarnation: u64,
     pub lease: u64,
+    /// What its version can do; see `membership::forms`. The version before says nothing.
+    #[serde(default)]
+    pub forms: u32,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -32,11 +37,20 @@
 pub struct Job {
     pub record: JobRecord,
     pub mark: u64,
-    pub pages: BTreeMap<usize, Kept<Page>>,
+    pub pages: BTreeMap<PageId, Kept<Page>>,
     pub done: u32,
     pub placed: u32,
 }
 
+/// Where a task stands by a job's pages: by its dense page, if there is one, and else by its wide one.
+fn entry_in(page: impl Fn(PageId) -> Option<Entry>, layout: &Layout, task: u32) -> Entry {
+    let dense = layout.uses_dense().then(|| page(layout.dense_of(task)));
+    dense
+        .flatten()
+        .or_else(|| page(layout.wide_of(task)))
+        .unwrap_or_default()
+}
+
 impl Job {
     pub fn stage(&self) -> Stage {
         if self.record.cancelled {
@@ -48,22 +62,23 @@
         }
     }
 
-    /// A page came in place of another: only what differs is counted.
-    fn count(&mut self, before: &Page, after: &Page) {
-        let done = |p: &Page| p.0.iter().filter(|e| **e == Entry::Done).count() as u32;
-        let placed = |e: &&Entry| matches!(e, Entry::Placed { .. });
-        let placed = |p: &Page| p.0.iter().filter(placed).count() as u32;
+    /// A task's entry came in place of another.
+    fn count(&mut self, before: &Entry, after: &Entry) {
+        let done = |e: &Entry| u32::from(*e == Entry::Done);
+        let placed = |e: &Entry| u32::from(matches!(e, Entry::Placed { .. }));
         self.done = self.done + done(after) - done(before);
         self.placed = self.placed + placed(after) - placed(before);
     }
 
-    pub fn entry(&self, page_len: usize, task: u32) -> Entry {
-        let page = self.pages.get(&(task as usize / page_len));
-        page.map(|p| p.record.get(task as usize % page_len))
-            .unwrap_or_default()
+    pub fn entry(&self, layout: &Layout, task: u32) -> Entry {
+        let of = |page: PageId| {
+            let kept = self.pages.get(&page)?;
+            Some(kept.record.get(layout.slot(page, task)))
+        };
+        entry_in(of, layout, task)
     }
 
-    pub fn page_mark(&self, page: usize) -> u64 {
+    pub fn page_mark(&self, page: PageId) -> u64 {
         self.pages.get(&page).map_or(0, |p| p.mark)
     }
 }
@@ -75,8 +90,13 @@
 pub struct Replica {
     /// All changes up to here are in.
     pub revision: u64,
-    pub page_len: usize,
+    pub layout: Layout,
+    /// Jobs that may start; those that wait for others are apart.
     pub jobs: BTreeMap<String, Job>,
+    pub pipelines: Pipelines,
+    /// Jobs whose record cannot be read: they are known, and nothing else is said of them.
+    unreadable: HashSet<String>,
+    pub forms: Option<Kept<Forms>>,
     pub fleet: Fleet,
     pub presence: BTreeMap<String, Kept<PresenceRecord>>,
     pub leader: Option<Kept<LeaderRecord>>,
@@ -84,7 +104,7 @@
     /// What each controller published last.
     pub outlooks: BTreeMap<String, Kept<OutlookRecord>>,
     /// Pages whose job is not there (any more).
-    pub orphans: BTreeMap<(String, usize), Kept<Page>>,
+    pub orphans: BTreeMap<(String, PageId), Kept<Page>>,
     /// Which tasks the records place on each machine.
     pub on: HashMap<String, BTreeSet<(String, u32)>>,
     /// Jobs that ended of late: their tasks may still hold room on machines.
@@ -101,9 +121,9 @@
 }
 
 impl Replica {
-    pub fn new(page_len: usize) -> Self {
+    pub fn new(layout: Layout) -> Self {
         Self {
-            page_len,
+            layout,
             ..Self::default()
         }
     }
@@ -117,12 +137,13 @@
         let jobs = std::mem::take(&mut self.jobs);
         let on = std::mem::take(&mut self.on);
         *self = Self {
+            pipelines: self.pipelines.anew(),
             ended,
             ended_order,
             fleet,
             changed_jobs: jobs.into_keys().collect(),
             changed_on: on.into_keys().collect(),
-            ..Self::new(self.page_len)
+            ..Self::new(self.layout)
         };
         for pair in pairs {
             self.put(&pair.k, pair.data.get(), pair.mark);
@@ -152,6 +173,7 @@
     }
 
     pub fn remember_ended(&mut self, id: &str, last: Final) {
+        self.pipelines.over(id, last);
         if self.ended.insert(id.to_owned(), last).is_none() {
             self.ended_order.push_back(id.to_owned());
             if self.ended_order.len() > MOST_ENDED
@@ -173,19 +195,33 @@
         }
         let (slice, name) = rest.split_once('/').unwrap_or((rest, ""));
         match slice {
-            "j" => {
-                let Some(record) = read(key, data) else {
+            "j" => match read(key, data) {
+                Some(Stored::Open(record)) => self.put_job(name, record, mark),
+                Some(Stored::Held { held, awaits }) => self.put_held(name, held, awaits, mark),
+                None => {
+                    self.unreadable.insert(name.to_owned());
+                }
+            },
+            "p" | "q" => {
+                let Some((id, page)) = page_name(slice, name) else {
                     return;
                 };
-                self.put_job(name, record, mark)
-            }
-            "p" => {
-                let Some(page) = read(key, data) else { return };
-                let Some((id, number)) = name.split_once('/') else {
-                    return;
+                let record = match page {
+                    PageId::Wide(_) => serde_json::from_str(data),
+                    PageId::Dense(_) => Page::from_dense(data),
                 };
-                let Ok(number) = number.parse() else { return };
-                self.put_page(id, number, page, mark);
+                match record {
+                    Ok(record) => self.put_page(id, page, record, mark),
+                    Err(error) => tracing::error!(key, %error, "a record cannot be read"),
+                }
+            }
+            "forms" if self.forms.as_ref().is_none_or(|f| f.mark < mark) => {
+                self.forms = read(key, data).map(|record| Kept { record, mark });
+                // What the pages were begun with holds, whatever the settings have come to say.
+                if let Some(layout) = self.forms.as_ref().and_then(|f| f.record.layout) {
+                    self.layout.wide = layout.wide;
+                    self.layout.dense = layout.dense;
+                }
             }
             "m" => {
                 if let Some(record) = read(key, data) {
@@ -223,7 +259,15 @@
         if self.ended.contains_key(id) {
             return; // our own accept, taken in after the log already told of the job's end
         }
+        if self.pipelines.get(id).is_some_and(|held| held.mark >= mark) {
+            return;
+        }
+        self.pipelines.remove(id);
+        self.unreadable.remove(id);
         self.changed_jobs.insert(id.to_owned());
+        if record.cancelled {
+            self.pipelines.over(id, Final::Cancelled);
+        }
         if let Some(job) = self.jobs.get_mut(id) {
             if job.mark < mark {
                 job.record = record;
@@ -238,64 +282,126 @@
             done: 0,
             placed: 0,
         };
-        let range = (id.to_owned(), 0)..=(id.to_owned(), usize::MAX);
-        let numbers: Vec<usize> = self.orphans.range(range).map(|((_, n), _)| *n).collect();
-        for number in numbers {
-            if let Some(page) = self.orphans.remove(&(id.to_owned(), number)) {
-                job.count(&Page::default(), &page.record);
-                job.pages.insert(number, page);
+        let range = (id.to_owned(), PageId::Wide(0))..=(id.to_owned(), PageId::Dense(usize::MAX));
+        let found: Vec<PageId> = self.orphans.range(range).map(|((_, n), _)| *n).collect();
+        for page in found {
+            if let Some(kept) = self.orphans.remove(&(id.to_owned(), page)) {
+                job.pages.insert(page, kept);
+            }
+        }
+        if !job.pages.is_empty() {
+            for task in 0..job.record.spec.tasks {
+                let entry = job.entry(&self.layout, task);
+                job.count(&Entry::default(), &entry);
             }
         }
         self.jobs.insert(id.to_owned(), job);
     }
 
-    pub fn put_page(&mut self, id: &str, number: usize, page: Page, mark: u64) {
-        let old = match self.jobs.get(id) {
-            Some(job) => job.pages.get(&number),
-            None => self.orphans.get(&(id.to_owned(), number)),
+    fn put_held(&mut self, id: &str, record: JobRecord, awaits: Vec<String>, mark: u64) {
+        // It was released or is over since: an older change comes late.
+        if self.ended.contains_key(id) || self.jobs.contains_key(id) {
+            return;
+        }
+        self.unreadable.remove(id);
+        let (jobs, ended) = (&self.jobs, &self.ended);
+        let need = |other: &str| match (jobs.get(other), ended.get(other)) {
+            (_, Some(Final::Done)) => Need::Done,
+            (_, Some(Final::Cancelled)) => Need::Cancelled,
+            (Some(job), None) if job.record.cancelled => Need::Cancelled,
+            _ => Need::Open,
         };
+        self.pipelines.put(id, record, awaits, mark, need);
+    }
+
+    /// Whether it was accepted, as far as is known here.
+    pub fn knows(&self, id: &str) -> bool {
+        self.jobs.contains_key(id)
+            || self.pipelines.get(id).is_some()
+            || self.ended.contains_key(id)
+    }
+
+    /// A record of the job is there and cannot be read: it is never taken for one that is not.
+    pub fn is_unreadable(&self, id: &str) -> bool {
+        self.unreadable.contains(id)
+    }
+
+    /// What jobs that wait need and no record here tells of.
+    pub fn unknown_needs(&self) -> BTreeSet<String> {
+        self.pipelines.unknown(|id| self.jobs.contains_key(id))
+    }
+
+    pub fn unknown_before(&self, id: &str) -> Vec<String> {
+        let known = |id: &str| self.jobs.contains_key(id);
+        self.pipelines.unknown_before(id, known)
+    }
+
+    fn page(&self, id: &str, page: PageId) -> Option<&Kept<Page>> {
+        match self.jobs.get(id) {
+            Some(job) => job.pages.get(&page),
+            None => self.orphans.get(&(id.to_owned(), page)),
+        }
+    }
+
+    pub fn put_page(&mut self, id: &str, page: PageId, record: Page, mark: u64) {
+        let old = self.page(id, page);
         if old.is_some_and(|old| old.mark >= mark) {
             return;
         }
-        let before = old.map(|old| old.record.clone()).unwrap_or_default();
-        self.index(id, number, &before, &page);
-        self.changed_jobs.insert(id.to_owned());
-        let kept = Kept { record: page, mark };
+        let slots = self.slots(old.map(|o| &o.record), page, record.0.len());
+        let before = self.entries(id, page, slots);
+        let kept = Kept { record, mark };
         match self.jobs.get_mut(id) {
             Some(job) => {
-                job.count(&before, &kept.record);
-                job.pages.insert(number, kept);
+                job.pages.insert(page, kept);
             }
             None => {
-                self.orphans.insert((id.to_owned(), number), kept);
+                self.orphans.insert((id.to_owned(), page), kept);
             }
         }
+        self.differ(id, page, before);
+        self.changed_jobs.insert(id.to_owned());
     }
 
-    fn index(&mut self, id: &str, number: usize, before: &Page, after: &Page) {
-        let first = number * self.page_len;
-        let machine = |entry: Option<&Entry>| match entry {
-            Some(Entry::Placed { machine, .. }) => Some(machine.clone()),
-            _ => None,
-        };
-        for slot in 0..before.0.len().max(after.0.len()) {
-            let (old, new) = (before.0.get(slot), after.0.get(slot));
+    /// How many of a page's tasks may differ once another record takes its place. A new dense page
+    /// overrules all that a wide one says of its tasks.
+    fn slots(&self, old: Option<&Page>, page: PageId, new: usize) -> usize {
+        match (old, page) {
+            (None, PageId::Dense(_)) => self.layout.span(page).1,
+            (old, _) => old.map_or(0, |o| o.0.len()).max(new),
+        }
+    }
+
+    fn entries(&self, id: &str, page: PageId, slots: usize) -> Vec<Entry> {
+        let first = self.layout.span(page).0;
+        let tasks = first..first + slots as u32;
+        tasks.map(|task| self.entry(id, task)).collect()
+    }
+
+    /// Notes what differs from before on a page: which tasks are on which machine, and the counts.
+    fn differ(&mut self, id: &str, page: PageId, before: Vec<Entry>) {
+        let first = self.layout.span(page).0;
+        for (slot, old) in before.into_iter().enumerate() {
+            let task = first + slot as u32;
+            let new = self.entry(id, task);
             if old == new {
                 continue;
             }
-            let (old, new) = (machine(old), machine(new));
-            let task = (id.to_owned(), (first + slot) as u32);
-            if let Some(machine) = old {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.count(&old, &new);
+            }
+            let id = (id.to_owned(), task);
+            if let Entry::Placed { machine, .. } = old {
                 if let Some(on) = self.on.get_mut(&machine) {
-                    on.remove(&task);
+                    on.remove(&id);
                     if on.is_empty() {
                         self.on.remove(&machine);
                     }
                 }
                 self.changed_on.insert(machine);
             }
-            if let Some(machine) = new {
-                self.on.entry(machine.clone()).or_default().insert(task);
+            if let Entry::Placed { machine, .. } = new {
+                self.on.entry(machine.clone()).or_default().insert(id);
                 self.changed_on.insert(machine);
             }
         }
@@ -322,6 +428,13 @@
         let (slice, name) = rest.split_once('/').unwrap_or((rest, ""));
         match slice {
             "j" => {
+                self.unreadable.remove(name);
+                // One that waits leaves its key in two ways: released, which sets it anew, and
+                // cancelled.
+                if self.pipelines.get(name).is_some_and(|h| h.mark < mark) {
+                    self.pipelines.remove(name);
+                    self.remember_ended(name, Final::Cancelled);
+                }
                 if let Some(job) = self.jobs.remove(name) {
                     self.changed_jobs.insert(name.to_owned());
                     self.depart(name, &job.record);
@@ -330,28 +443,25 @@
                         false => Final::Done,
                     };
                     self.remember_ended(name, last);
-                    for (number, page) in job.pages {
-                        self.orphans.insert((name.to_owned(), number), page);
+                    for (page, kept) in job.pages {
+                        self.orphans.insert((name.to_owned(), page), kept);
                     }
                 }
             }
-            "p" => {
-                let Some((id, number)) = name.split_once('/') else {
+            "p" | "q" => {
+                let Some((id, page)) = page_name(slice, name) else {
                     return;
                 };
-                let Ok(number) = number.parse::<usize>() else {
+                let Some(old) = self.page(id, page) else {
                     return;
                 };
-                let old = match self.jobs.get_mut(id) {
-                    Some(job) => job.pages.remove(&number),
-                    None => self.orphans.remove(&(id.to_owned(), number)),
+                let slots = self.slots(Some(&old.record), page, 0);
+                let before = self.entries(id, page, slots);
+                match self.jobs.get_mut(id) {
+                    Some(job) => job.pages.remove(&page),
+                    None => self.orphans.remove(&(id.to_owned(), page)),
                 };
-                if let Some(old) = old {
-                    self.index(id, number, &old.record, &Page::default());
-                    if let Some(job) = self.jobs.get_mut(id) {
-                        job.count(&old.record, &Page::default());
-                    }
-                }
+                self.differ(id, page, before);
             }
             "m" => self.fleet.remove(name, mark),
             "n" if self.presence.get(name).is_some_and(|p| p.mark < mark) => {
@@ -383,21 +493,43 @@
     /// Where the records say that a task stands; tasks of jobs that ended have pages for a while.
     pub fn entry(&self, job: &str, task: u32) -> Entry {
         if let Some(job) = self.jobs.get(job) {
-            return job.entry(self.page_len, task);
+            return job.entry(&self.layout, task);
         }
         if self.orphans.is_empty() {
             return Entry::default();
         }
-        let page = self.orphans.get(&(job.to_owned(), self.page_of(task)));
-        page.map(|kept| kept.record.get(task as usize % self.page_len))
-            .unwrap_or_default()
+        let of = |page: PageId| {
+            let kept = self.orphans.get(&(job.to_owned(), page))?;
+            Some(kept.record.get(self.layout.slot(page, task)))
+        };
+        entry_in(of, &self.layout, task)
+    }
+
+    /// Whether all controllers are of a version that can do what this one can.
+    pub fn has_begun(&self) -> bool {
+        self.forms.as_ref().is_some_and(|f| f.record.begun())
     }
 
-    pub fn page_of(&self, task: u32) -> usize {
-        task as usize / self.page_len
+    /// The page on which a task's next entry is written.
+    pub fn page_of(&self, task: u32) -> PageId {
+        match self.has_begun() && self.layout.uses_dense() {
+            true => self.layout.dense_of(task),
+            false => self.layout.wide_of(task),
+        }
     }
 }
 
+/// A page's job and place, by the name of its key.
+fn page_name<'a>(slice: &str, name: &'a str) -> Option<(&'a str, PageId)> {
+    let (id, number) = name.split_once('/')?;
+    let number = number.parse().ok()?;
+    let page = match slice {
+        "q" => PageId::Dense(number),
+        _ => PageId::Wide(number),
+    };
+    Some((id, page))
+}
+
 fn read<T: for<'de> Deserialize<'de>>(key: &str, data: &str) -> Option<T> {
     match serde_json::from_str(data) {
         Ok(record) => Some(record),
@@ -426,6 +558,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::jobs::pages::tests::wide;
     use serde_json::json;
 
     fn change(key: &str, data: serde_json::Value, mark: u64) -> Change {
@@ -442,7 +575,7 @@
 
     #[test]
     fn an_older_answer_never_undoes_a_newer_one() {
-        let mut replica = Replica::new(8);
+        let mut replica = Replica::new(wide(8));
         let page = |m: &str| json!([[1, m, 1], true]);
         replica.take(vec![change("r/p/job-1/0", page("vm-1"), 5)], 5);
         replica.take(vec![change("r/p/job-1/0", page("vm-2"), 7)], 7);
@@ -465,7 +598,7 @@
                 "owners":[["me", 1]],"machines":machines})
         };
         let null = serde_json::Value::Null;
-        let mut replica = Replica::new(8);
+        let mut replica = Replica::new(wide(8));
         replica.take(
             vec![
                 change("r/m/r-1", rental(&["vm-1"]), 5),
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -13,7 +13,7 @@
 }
 
 fn replica(cancelled: bool, page: Value) -> Replica {
-    let mut replica = Replica::new(8);
+    let mut replica = Replica::new(crate::jobs::pages::tests::wide(8));
     let job = json!({"spec": spec("job-1", 4), "accepted_ms": 0, "cancelled": cancelled});
     let pair = |k: &str, data: Value, mark| Pair {
         k: k.into(),
@@ -157,7 +157,7 @@
 /// A service runs until it is cancelled: a task of it that ends is to be started again.
 #[test]
 fn a_services_task_that_ends_is_no_completion() {
-    let mut replica = Replica::new(8);
+    let mut replica = Replica::new(crate::jobs::pages::tests::wide(8));
     let mut spec = spec("job-1", 2);
     spec["shape"] = json!("standing");
     let job = json!({"spec": spec, "accepted_ms": 0});
