Test old and new on one another's data, and a replacement amid falling limits

Values kept as production wrote them are read; what is written in the mixed phase is read by a copy of production's shapes; three controllers are replaced one at a time with an old and with a new leader, limits falling before, in and after it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -119,6 +119,15 @@
 
 /// One controller, until its runtime ends.
 async fn run(settings: settings::Settings, policy: policy::Policy) -> Result<(), String> {
+    run_as(membership::forms::CAN, settings, policy).await
+}
+
+/// `can` is what it says that its version can do.
+async fn run_as(
+    can: u32,
+    settings: settings::Settings,
+    policy: policy::Policy,
+) -> Result<(), String> {
     let bind = |addr| async move {
         TcpListener::bind(addr)
             .await
@@ -126,7 +135,7 @@
     };
     let api_listener = bind(settings.api_addr).await?;
     let mesh_listener = bind(settings.mesh_addr).await?;
-    let node = Arc::new(node::Node::new(settings, policy));
+    let node = Arc::new(node::Node::new(can, settings, policy));
     tracing::info!(incarnation = node.me.incarnation, "starting");
     tokio::spawn(state::follow::run(node.clone()));
     tokio::spawn(state::follow::serve_syncs(node.clone()));
--- a/src/membership/forms.rs
+++ b/src/membership/forms.rs
@@ -57,6 +57,9 @@
 
 /// Any node of this version brings the record up to date: the leader may be of the one before.
 pub async fn keep(node: &Node) {
+    if node.can < CAN {
+        return;
+    }
     let (forms, guards) = {
         let core = node.core();
         let members = node.settings.members();
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -111,7 +111,7 @@
     let record = PresenceRecord {
         incarnation: node.me.incarnation,
         lease,
-        forms: forms::CAN,
+        forms: node.can,
     };
     let put = leased(presence_key(me), &record, lease);
     if node.state.transact(&[], &[put]).await.is_ok() {
@@ -490,7 +490,7 @@
                 "cloud": {"rps": 8.0, "list_lag_s": 4.0},
                 "limits": {"core_share": 1.0, "mem_mb": 72.0, "sockets": 500}, "skew_ms": 25.0}});
         let settings = Settings::parse(&settings.to_string(), "test").unwrap();
-        let node = Node::new(settings, Policy::default());
+        let node = Node::new(forms::CAN, settings, Policy::default());
         let mut core = node.core();
         let kind = json!({"sku":"m","cpus":4.0,"memGb":16.0,"hourly":1.0,"yards":["a"]});
         core.kinds = vec![serde_json::from_value::<Kind>(kind).unwrap()];
--- a/src/node.rs
+++ b/src/node.rs
@@ -40,6 +40,8 @@
     pub settings: Settings,
     pub policy: Policy,
     pub me: Member,
+    /// What this process can do, see `membership::forms`.
+    pub can: u32,
     pub state: StateClient,
     pub cloud: CloudClient,
     core: Mutex<Core>,
@@ -58,9 +60,10 @@
 const PEERS_SILENT: Duration = Duration::from_secs(5);
 
 impl Node {
-    pub fn new(settings: Settings, policy: Policy) -> Self {
+    pub fn new(can: u32, settings: Settings, policy: Policy) -> Self {
         let now = Instant::now();
         Self {
+            can,
             me: Member {
                 name: settings.member.clone(),
                 incarnation: rand::random::<u64>() >> 12,
--- a/src/standins/cloud.rs
+++ b/src/standins/cloud.rs
@@ -4,7 +4,7 @@
 use super::{Asked, Reply, ask};
 use hyper::Method;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -15,6 +15,10 @@
     hires: HashMap<String, Vec<String>>,
     /// Which machine each running task is on.
     on: HashMap<String, String>,
+    /// Tasks that completed.
+    done: HashSet<String>,
+    /// By job, the tasks that must be done before any of its own starts.
+    pub needs: HashMap<String, Vec<String>>,
     pub starts: usize,
     pub most_at_once: usize,
     pub broken: Vec<String>,
@@ -149,6 +153,7 @@
             if !*ended && since.elapsed() >= takes {
                 *ended = true;
                 world.on.remove(task);
+                world.done.insert(task.clone());
             }
         }
     }
@@ -169,6 +174,13 @@
                         let broken = format!("{task} runs on {other} and on {}", self.name);
                         world.broken.push(broken);
                     }
+                    let job = task.split('/').next().unwrap();
+                    let needs = world.needs.get(job).into_iter().flatten();
+                    let early: Vec<_> = needs.filter(|n| !world.done.contains(*n)).collect();
+                    if !early.is_empty() {
+                        let broken = format!("{task} starts before {early:?}");
+                        world.broken.push(broken);
+                    }
                     world.starts += 1;
                     world.most_at_once = world.most_at_once.max(world.on.len());
                     self.tasks.insert(task, (attempt, Instant::now(), false));
--- a/src/standins/mod.rs
+++ b/src/standins/mod.rs
@@ -86,8 +86,37 @@
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
+/// What a controller is started as.
+#[derive(Clone, Copy)]
+struct Version {
+    /// What it can do: 0 stands for the version before.
+    can: u32,
+    /// Limits of the state service, and those that it is told of.
+    value_kb: f64,
+    next: Option<(f64, usize, f64)>,
+}
+
+const PRESENT: Version = Version {
+    can: crate::membership::forms::CAN,
+    value_kb: 8.0,
+    next: None,
+};
+
 impl Controller {
     fn start(number: usize, seats: &[Seat], state: SocketAddr, cloud: SocketAddr) -> Self {
+        Self::start_as(PRESENT, number, seats, state, cloud)
+    }
+
+    fn start_as(
+        version: Version,
+        number: usize,
+        seats: &[Seat],
+        state: SocketAddr,
+        cloud: SocketAddr,
+    ) -> Self {
+        let next = version.next.map(|(value_kb, txn_ops, write_rps)| {
+            json!({"value_kb": value_kb, "txn_ops": txn_ops, "write_rps": write_rps})
+        });
         let name = |n: usize| format!("millstone-{n}");
         let others = seats.iter().enumerate().filter(|(n, _)| *n != number);
         let known: Vec<Value> = others
@@ -100,7 +129,8 @@
                 "teams": [{"name": "t", "cpus_max": 6.0}],
                 "workers": {"report_s": 0.3, "lease_s": 8.0, "gang_wait_s": 5.0,
                     "gang_peer_s": 2.0, "cancel_s": 20.0},
-                "state": {"rps": 1000.0, "write_rps": 500.0, "value_kb": 8.0, "txn_ops": 24},
+                "state": {"rps": 1000.0, "write_rps": 500.0, "value_kb": version.value_kb,
+                    "txn_ops": 24, "next": next},
                 "cloud": {"rps": 50.0, "list_lag_s": 1.0},
                 "limits": {"core_share": 1.0, "mem_mb": 100.0, "sockets": 500},
                 "skew_ms": 25.0}});
@@ -111,7 +141,7 @@
             let runtime = builder.enable_all().build().unwrap();
             runtime.block_on(async {
                 tokio::select! {
-                    ended = crate::run(settings, crate::policy::Policy::default()) => ended.unwrap(),
+                    ended = crate::run_as(version.can, settings, crate::policy::Policy::default()) => ended.unwrap(),
                     _ = stopped => {}
                 }
             });
--- a/src/standins/state.rs
+++ b/src/standins/state.rs
@@ -20,6 +20,19 @@
     log: Vec<(u64, String, Value)>,
     leases: HashMap<u64, (Instant, Duration)>,
     out: bool,
+    limits: Option<Limits>,
+    /// Puts and drops that may be taken now, as of then.
+    level: Option<(f64, Instant)>,
+    /// Refused for being too large, too many at once, or too many a second.
+    refused: [usize; 3],
+}
+
+/// What the service takes: bytes of a value, changes of a transaction, changes a second.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub value: usize,
+    pub ops: usize,
+    pub rate: f64,
 }
 
 #[derive(Clone, Default)]
@@ -36,6 +49,25 @@
         }
     }
 
+    /// The limits from now on. What is stored stays.
+    pub fn set_limits(&self, limits: Limits) {
+        let mut store = self.0.lock().unwrap();
+        store.limits = Some(limits);
+        store.level = None;
+    }
+
+    pub fn refused(&self) -> [usize; 3] {
+        self.0.lock().unwrap().refused
+    }
+
+    /// What is stored under a prefix.
+    pub fn stored(&self, prefix: &str) -> BTreeMap<String, Value> {
+        let store = self.0.lock().unwrap();
+        let keys = store.keys.iter().filter(|(k, _)| k.starts_with(prefix));
+        keys.map(|(k, held)| (k.clone(), held.data.clone()))
+            .collect()
+    }
+
     pub fn handler(&self) -> Arc<dyn Fn(Asked) -> Reply + Send + Sync> {
         let state = self.clone();
         Arc::new(move |asked| {
@@ -160,8 +192,39 @@
         }
     }
 
+    /// Whether the limits take so many changes, with these values.
+    fn check(&mut self, then: &[Value]) -> Result<(), (u16, Value)> {
+        let Some(limits) = self.limits else {
+            return Ok(());
+        };
+        let now = Instant::now();
+        let (level, at) = self.level.unwrap_or((limits.rate, now));
+        let level = (level + (now - at).as_secs_f64() * limits.rate).min(limits.rate);
+        self.level = Some((level, now));
+        if then
+            .iter()
+            .any(|op| op["data"].to_string().len() > limits.value)
+        {
+            self.refused[0] += 1;
+            return Err((400, json!({"error": "value too large"})));
+        }
+        if then.len() > limits.ops {
+            self.refused[1] += 1;
+            return Err((400, json!({"error": "too many changes"})));
+        }
+        if level < then.len() as f64 {
+            self.refused[2] += 1;
+            return Err((429, json!({"error": "too many"})));
+        }
+        self.level = Some((level - then.len() as f64, now));
+        Ok(())
+    }
+
     fn multi(&mut self, body: &Value) -> (u16, Value) {
         let none = Vec::new();
+        if let Err(refusal) = self.check(body["then"].as_array().unwrap_or(&none)) {
+            return refusal;
+        }
         let guards = body["guards"].as_array().unwrap_or(&none).iter();
         let failed: Vec<&str> = guards
             .filter(|guard| {
--- a/src/standins/tests.rs
+++ b/src/standins/tests.rs
@@ -1,8 +1,8 @@
 //! Controllers against the stand-ins, in real time.
 
 use super::cloud::Cloud;
-use super::state::State;
-use super::{Controller, Seat, ask, free_addr, serve};
+use super::state::{Limits, State};
+use super::{Controller, PRESENT, Seat, Version, ask, free_addr, serve};
 use hyper::Method;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -49,6 +49,50 @@
         controller
     }
 
+    fn start_as(&self, version: Version, number: usize) -> Controller {
+        Controller::start_as(
+            version,
+            number,
+            &self.seats,
+            self.state_addr,
+            self.cloud_addr,
+        )
+    }
+
+    /// Submits until it is taken.
+    async fn submit(&self, number: usize, job: &Value) -> Value {
+        for _ in 0..400 {
+            let (status, told) = self.post(number, "/v1/jobs", job.clone()).await;
+            if matches!(status, 200 | 201) {
+                return told;
+            }
+            assert!(matches!(status, 0 | 429 | 503), "{status} {told}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        panic!("never taken: {job}");
+    }
+
+    /// A job that waits for others, of so many tasks each; the cloud's world sees to the order.
+    async fn submit_after(&self, number: usize, id: &str, awaits: &[(&str, u32)]) -> Value {
+        let tasks = awaits
+            .iter()
+            .flat_map(|(job, count)| (0..*count).map(move |n| format!("{job}/{n}")));
+        let needs = tasks.collect();
+        {
+            let mut world = self.cloud.world.lock().unwrap();
+            world.needs.insert(id.to_owned(), needs);
+        }
+        let mut job = job(id, 2, 1.0);
+        let ids: Vec<&str> = awaits.iter().map(|a| a.0).collect();
+        job["awaits"] = json!(ids);
+        job["dueS"] = json!(60.0);
+        self.submit(number, &job).await
+    }
+
+    fn broken(&self) -> Vec<String> {
+        self.cloud.world.lock().unwrap().broken.clone()
+    }
+
     async fn get(&self, number: usize, path: &str) -> (u16, Value) {
         ask(self.seats[number].api, Method::GET, path, Value::Null).await
     }
@@ -267,3 +311,157 @@
     assert_eq!(world.broken, Vec::<String>::new());
     assert!(world.starts >= 18);
 }
+
+/// Rules `too_early`, `orphaned` and `forgotten`: a diamond with an end, whose controllers end in the
+/// middle of it; a chain that is cancelled at its first job, and all that is refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn pipelines_run_in_order_and_are_cancelled_whole() {
+    let site = Site::new(2, Duration::from_millis(700)).await;
+    let first = site.start(0).await;
+    let second = site.start(1).await;
+    site.submit(0, &job("job-50", 3, 1.0)).await;
+    site.submit_after(1, "job-51", &[("job-50", 3)]).await;
+    site.submit_after(0, "job-52", &[("job-50", 3)]).await;
+    let told = site
+        .submit_after(1, "job-53", &[("job-51", 2), ("job-52", 2)])
+        .await;
+    assert_eq!(told["stage"], "queued");
+    // Refused, whatever is done about it: unknown, itself, and what is no list of ids.
+    for (awaits, status) in [
+        (json!(["job-99"]), 422),
+        (json!(["job-50", "job-54"]), 422),
+        (json!("job-50"), 400),
+        (json!([50]), 400),
+        (
+            json!((1000..1900).map(|n| format!("job-{n}")).collect::<Vec<_>>()),
+            400,
+        ),
+    ] {
+        let mut job = job("job-54", 1, 1.0);
+        job["awaits"] = awaits;
+        assert_eq!(site.post(0, "/v1/jobs", job).await.0, status);
+    }
+    let running = async || site.stage(0, "job-50").await == "running";
+    until("the first runs", running).await;
+    // Both end as the first job does, or soon after: what is next is released all the same.
+    drop(first);
+    let done = async || site.stage(1, "job-50").await == "done";
+    until("the first is done", done).await;
+    drop(second);
+    let _first = site.start(0).await;
+    let _second = site.start(1).await;
+    assert_ne!(site.stage(0, "job-53").await, "", "known though it waits");
+    let done = async || site.stage(0, "job-53").await == "done";
+    until("the last is done", done).await;
+    // One that comes when all is over waits for nothing; a repeat gets its state.
+    site.submit_after(1, "job-55", &[("job-53", 2)]).await;
+    let again = site
+        .submit_after(0, "job-53", &[("job-51", 2), ("job-52", 2)])
+        .await;
+    assert_eq!(again["stage"], "done");
+
+    // A chain: cancelled at its first job, and all that hang on it with it, at each node at once.
+    site.submit(0, &job("job-60", 2, 1.0)).await;
+    for n in 61..70 {
+        let before = format!("job-{}", n - 1);
+        site.submit_after(n % 2, &format!("job-{n}"), &[(&before, 2)])
+            .await;
+    }
+    let aborted = async || {
+        let told = site.post(0, "/v1/jobs/job-60/abort", Value::Null).await.1;
+        told["stage"] == "cancelled"
+    };
+    until("it is cancelled", aborted).await;
+    for number in 0..2 {
+        for n in 60..70 {
+            assert_eq!(site.stage(number, &format!("job-{n}")).await, "cancelled");
+        }
+    }
+    let told = site.submit_after(1, "job-70", &[("job-69", 2)]).await;
+    assert_eq!(told["stage"], "cancelled", "taken all the same");
+    let ended = async || site.state.stored("r/j/").is_empty();
+    until("no record is left of them", ended).await;
+    for n in 61..71 {
+        assert_eq!(site.stage(0, &format!("job-{n}")).await, "cancelled");
+    }
+    // An abort that comes after the end cancels nothing.
+    site.submit_after(0, "job-71", &[("job-53", 2)]).await;
+    let told = site.post(1, "/v1/jobs/job-53/abort", Value::Null).await.1;
+    assert_eq!(told["stage"], "done");
+    let done = async || site.stage(1, "job-71").await == "done";
+    until("it goes on", done).await;
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
+
+/// The version before is replaced a process at a time, with an old leader and with a new one, and the
+/// limits fall in the middle of it, after it, or before: what both place runs once, what waits for
+/// others is refused until all are new and then taken, and every value fits.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn old_and_new_share_the_work_while_one_replaces_the_other() {
+    let next = Some((1.0, 8, 60.0));
+    let old = Version {
+        can: 0,
+        value_kb: 8.0,
+        next: None,
+    };
+    let new = Version { next, ..PRESENT };
+    let lower = Limits {
+        value: 1024,
+        ops: 8,
+        rate: 60.0,
+    };
+    for (leader_first, falls_after) in [(true, 3), (false, 1), (false, 0)] {
+        let site = Site::new(3, Duration::from_millis(900)).await;
+        let mut nodes: Vec<Option<Controller>> = Vec::new();
+        for number in 0..3 {
+            nodes.push(Some(site.start_as(old, number)));
+            let ready = async || site.get(number, "/healthz").await.0 == 200;
+            until("the controller is healthy", ready).await;
+        }
+        // So many tasks that a page of the version before is larger than the lower limit takes.
+        site.submit(0, &job("job-80", 120, 0.05)).await;
+        let running = async || site.stage(1, "job-80").await == "running";
+        until("it runs", running).await;
+        let leader = || {
+            let record = site.state.stored("r/leader");
+            let name = record.values().next()?["member"].as_str()?.to_owned();
+            name.trim_start_matches("millstone-").parse::<usize>().ok()
+        };
+        let first = leader().unwrap_or(0);
+        let order: Vec<usize> = match leader_first {
+            true => (0..3).map(|n| (first + n) % 3).collect(),
+            false => (1..4).map(|n| (first + n) % 3).collect(),
+        };
+        for (count, number) in order.iter().copied().enumerate() {
+            if falls_after == count {
+                site.state.set_limits(lower);
+            }
+            let mut waits = job("job-99", 1, 1.0);
+            waits["awaits"] = json!(["job-80"]);
+            nodes[number] = None;
+            nodes[number] = Some(site.start_as(new, number));
+            let ready = async || site.get(number, "/healthz").await.0 == 200;
+            until("the new one is healthy", ready).await;
+            if count < 2 {
+                let (status, _) = site.post(number, "/v1/jobs", waits).await;
+                assert_eq!(status, 503, "not before all are new");
+            }
+            let id = format!("job-{}", 81 + count);
+            site.submit((number + 1) % 3, &job(&id, 30, 0.1)).await;
+        }
+        site.submit_after(0, "job-84", &[("job-81", 30), ("job-82", 30)])
+            .await;
+        if falls_after == 3 {
+            site.state.set_limits(lower);
+        }
+        site.submit_after(2, "job-85", &[("job-84", 2)]).await;
+        site.submit(1, &job("job-86", 100, 0.05)).await;
+        for id in ["job-80", "job-81", "job-82", "job-83", "job-85", "job-86"] {
+            let done = async || site.stage(1, id).await == "done";
+            until("it is done", done).await;
+        }
+        assert_eq!(site.broken(), Vec::<String>::new());
+        let [_, too_many, _] = site.state.refused();
+        assert_eq!(too_many, 0, "no transaction is too large");
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -3,6 +3,8 @@
 pub mod budget;
 pub mod client;
 pub mod follow;
+#[cfg(test)]
+mod mixed;
 pub mod replica;
 
 use crate::jobs::PageId;
--- a/src/workers/service/tests.rs
+++ b/src/workers/service/tests.rs
@@ -30,7 +30,7 @@
 impl Scene {
     fn new() -> Self {
         let scene = Self {
-            node: Node::new(settings(), Policy::default()),
+            node: Node::new(1, settings(), Policy::default()),
             start: Instant::now(),
             mark: 10,
             trace: String::new(),
