Record a job's end by one change where changes are short; overdue exits go before starts

Now exits that waited twice as long as they should go first, and where less than half of what may be written at once is left a job's end is one change; the moving waits for a quieter time.

--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -4,7 +4,7 @@
 use crate::jobs::{Final, JobRecord, JobSpec, Stage, Stored, Submission, is_job_id};
 use crate::membership;
 use crate::node::{Core, Node, wall_ms};
-use crate::pipelines::service::look_up_needs;
+use crate::pipelines::service::{CANCELLED, look_up_needs};
 use crate::placement::views::{kinds_for, room_of};
 use crate::state::budget::Need;
 use crate::state::{Guard, Op, TxnError, final_key, job_key};
@@ -395,8 +395,7 @@
             let core = node.core();
             if let Some(held) = core.replica.pipelines.get(id) {
                 // Nothing of it runs: it is over at once, and with it all that need it.
-                let last = Op::set(final_key(id), &Final::Cancelled);
-                (held.mark, vec![last, Op::drop(job_key(id))])
+                (held.mark, vec![Op::set(job_key(id), &CANCELLED)])
             } else if let Some(job) = core.replica.jobs.get(id) {
                 let record = job.record.clone().into_cancelled();
                 let put = Op::set(job_key(id), &Stored::Open(record));
--- a/src/counts.rs
+++ b/src/counts.rs
@@ -19,6 +19,8 @@
     /// Of these, pages of jobs that another controller places.
     pub others_pages: u64,
     pub ended: u64,
+    /// Pages' transactions whose guards did not hold: their changes count against the limit, too.
+    pub lost_races: u64,
     /// Machines looked at by the mapping, and views made anew because something changed.
     pub steps: u64,
     pub views: u64,
@@ -41,6 +43,7 @@
             exit_pages: 0,
             others_pages: 0,
             ended: 0,
+            lost_races: 0,
             steps: 0,
             views: 0,
             placing: Duration::ZERO,
@@ -79,6 +82,7 @@
         c.exit_pages,
         c.others_pages,
         c.ended,
+        c.lost_races,
         c.steps,
         c.views,
         placing_ms = c.placing.as_millis() as u64,
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -61,6 +61,10 @@
         awaits: Vec<String>,
     },
     Open(JobRecord),
+    /// It ended, and is yet to be moved to its final key: where changes are short that waits.
+    Over {
+        over: Final,
+    },
 }
 
 /// What is kept of a job for ever.
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -3,14 +3,14 @@
 
 use super::pages::entry_bytes;
 use super::plans::Changes;
-use super::{Entry, Final, Page, PageId};
+use super::{Entry, Final, Page, PageId, Stored};
 use crate::fleet::Use;
 use crate::node::{Core, Node};
 use crate::pipelines;
 use crate::state::budget::Need;
 use crate::state::replica::Job;
 use crate::state::{
-    FORMS_KEY, Guard, MOST_BYTES, Op, SHARES_KEY, TxnError, final_key, job_key, page_key,
+    FORMS_KEY, Guard, MOST_BYTES, Op, Replica, SHARES_KEY, TxnError, final_key, job_key, page_key,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -27,6 +27,8 @@
 /// controller could write were such records.
 const FAR_FROM_END_WAIT: (Duration, Duration) =
     (Duration::from_millis(300), Duration::from_secs(10));
+/// After so many times as long, exits go before starts.
+const OVERDUE: u32 = 2;
 /// Up to this part done, a job is far from its end.
 const FAR_FROM_END: f64 = 0.8;
 /// How long a page is left alone that the state service refused as malformed.
@@ -40,6 +42,8 @@
     page: Page,
     guards: Vec<Guard>,
     starts: bool,
+    /// Exits on it have waited twice as long as they should.
+    overdue: bool,
     /// Where it starts tasks.
     machines: BTreeSet<String>,
     gang: bool,
@@ -77,7 +81,7 @@
     }
     settle(&mut node.core());
     if leads {
-        drop_orphans(node).await;
+        tidy(node).await;
     }
 }
 
@@ -93,6 +97,9 @@
 /// fit.
 async fn end_jobs(node: &Arc<Node>) -> bool {
     let most = node.settings.txn_ops();
+    // Moving a job to its final key takes a change for each of its keys. Where these are short, its
+    // end alone is recorded, and the moving waits for a quieter time.
+    let short = node.state.writes_at_ease() < AT_EASE && node.core().replica.has_begun();
     let mut over: Vec<Ended> = {
         let core = node.core();
         let jobs = core.replica.jobs.iter();
@@ -111,13 +118,20 @@
         let room = node.state.writes_left(Need::Own).min(most);
         let (mut ops, mut guards, mut count) = (Vec::new(), Vec::new(), 0);
         for ended in &over {
-            if ops.len() + 2 + ended.pages.len() > room.max(2) && count > 0 {
+            let takes = if short { 1 } else { 2 + ended.pages.len() };
+            if ops.len() + takes > room.max(2) && count > 0 {
                 break;
             }
             guards.push(Guard {
                 k: job_key(&ended.id),
                 mark: ended.mark,
             });
+            if short {
+                let over = Stored::Over { over: ended.last };
+                ops.push(Op::set(job_key(&ended.id), &over));
+                count += 1;
+                continue;
+            }
             ops.push(Op::set(final_key(&ended.id), &ended.last));
             ops.push(Op::drop(job_key(&ended.id)));
             let pages = ended.pages.iter();
@@ -133,12 +147,9 @@
         };
         let mut core = node.core();
         core.counts.ended += batch.len() as u64;
+        core.apply(ops, ledger);
         for ended in batch {
-            core.replica.remove(&job_key(&ended.id), ledger);
             core.replica.remember_ended(&ended.id, ended.last);
-            for number in ended.pages {
-                core.replica.remove(&page_key(&ended.id, number), ledger);
-            }
             core.plans.remove_job(&ended.id);
             core.failures.remove(&ended.id);
         }
@@ -228,6 +239,7 @@
                 }
             }
             Err(TxnError::Conflict(failed)) => {
+                core.counts.lost_races += 1;
                 tracing::debug!(?failed, "a record lost a race");
                 withdraw(&mut core, &batch, Some(&failed));
                 fine = false;
@@ -286,7 +298,8 @@
             false => OTHERS_WAIT,
         };
         let wait = if at_ease { least } else { most };
-        let writes_exits = core.plans.waited(id, now) >= wait;
+        let waited = core.plans.waited(id, now);
+        let writes_exits = waited >= wait;
         let mut pages: BTreeMap<PageId, Vec<(u32, &Entry)>> = BTreeMap::new();
         for (task, entry) in changes {
             let page = pages.entry(core.replica.page_of(*task)).or_default();
@@ -295,9 +308,11 @@
         let before = dirty.len();
         let mut whole = true;
         for (number, changes) in pages {
-            let Some(page) = make_up_page(core, me, most_guards, id, job, number, &changes) else {
+            let Some(mut page) = make_up_page(core, me, most_guards, id, job, number, &changes)
+            else {
                 continue;
             };
+            page.overdue = !page.starts && waited >= most * OVERDUE;
             whole &= page.whole;
             if page.starts || writes_exits {
                 dirty.push(page);
@@ -308,8 +323,10 @@
             dirty.truncate(before);
         }
     }
-    // Starts first: a task waits for each of them, and nobody waits for an exit's record.
-    dirty.sort_by_key(|d| !d.starts);
+    // Starts first: a task waits for each of them, and nobody waits for an exit's record. But where
+    // starts took all that may be written, exits of others' jobs were never recorded, and what their
+    // owners had to place again, or to release after them, waited for minutes.
+    dirty.sort_by_key(|d| (!d.overdue, !d.starts));
     dirty
 }
 
@@ -420,6 +437,7 @@
         number,
         op,
         page,
+        overdue: false,
         guards,
         starts,
         machines,
@@ -544,36 +562,54 @@
     }
 }
 
-/// Drops pages left behind by ended jobs, when the budget has room.
-async fn drop_orphans(node: &Arc<Node>) {
-    let most = node.settings.txn_ops();
-    let spare = node.state.writes_left(Need::Own) / 2;
-    let keys: Vec<(String, PageId)> = {
+/// From this part of what may be written at once on, changes are not short.
+const AT_EASE: f64 = 0.5;
+/// So many records of jobs that ended are kept where changes are short; beyond that they go in any
+/// case, or else each reading of all records would grow with them.
+const MOST_LEFT: usize = 4000;
+
+/// Moves jobs that ended to their final keys and drops the pages that they left, when there are
+/// changes to spare.
+async fn tidy(node: &Arc<Node>) {
+    let spare = (node.state.writes_left(Need::Own) / 2).min(node.settings.txn_ops());
+    let (guards, ops) = {
         let core = node.core();
-        let known_over = |id: &str| core.replica.ended(id).is_some();
-        core.replica
-            .orphans
-            .keys()
-            .filter(|(id, _)| known_over(id))
-            .take(spare.min(most))
-            .cloned()
-            .collect()
+        let replica = &core.replica;
+        let few = replica.closed.len() + replica.orphans.len() < MOST_LEFT;
+        if few && node.state.writes_at_ease() < AT_EASE {
+            return;
+        }
+        tidying(replica, spare)
     };
-    if keys.is_empty() {
+    if ops.is_empty() {
         return;
     }
-    let ops: Vec<Op> = keys
-        .iter()
-        .map(|(id, number)| Op::drop(page_key(id, *number)))
-        .collect();
-    if let Ok(ledger) = node.state.transact(&[], &ops).await {
-        let mut core = node.core();
-        for (id, number) in keys {
-            core.replica.remove(&page_key(&id, number), ledger);
-        }
+    if let Ok(ledger) = node.state.transact(&guards, &ops).await {
+        node.core().apply(ops, ledger);
     }
 }
 
+/// What to tidy up in so many changes.
+fn tidying(replica: &Replica, most: usize) -> (Vec<Guard>, Vec<Op>) {
+    let (mut guards, mut ops) = (Vec::new(), Vec::new());
+    for (id, mark) in &replica.closed {
+        let Some(last) = replica.ended(id).filter(|_| ops.len() + 2 <= most) else {
+            continue;
+        };
+        guards.push(Guard {
+            k: job_key(id),
+            mark: *mark,
+        });
+        ops.push(Op::set(final_key(id), &last));
+        ops.push(Op::drop(job_key(id)));
+    }
+    let known_over = |id: &str| replica.ended(id).is_some();
+    let left = replica.orphans.keys().filter(|(id, _)| known_over(id));
+    let left = left.take(most - ops.len().min(most));
+    ops.extend(left.map(|(id, page)| Op::drop(page_key(id, *page))));
+    (guards, ops)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -751,6 +787,41 @@
         "#);
     }
 
+    /// Aim `deadline dawn-dispatch-push`, .33 on `troubles` after the limits fell: one node's starts took
+    /// all its puts, and it recorded no exit of another's job for a hundred seconds.
+    #[test]
+    fn exits_that_others_wait_for_are_not_starved_by_starts() {
+        let (me, mut core) = core();
+        let mut other: Value = serde_json::to_value(&core.replica.jobs["job-1"].record).unwrap();
+        other["spec"]["nameId"] = json!("job-2");
+        put(&mut core, "r/j/job-2", other, 9);
+        put(&mut core, "r/p/job-2/0", json!([[1, "vm-1", 1]]), 10);
+        core.note_ownership(&me, Instant::now());
+        let start = Entry::Placed {
+            attempt: 1,
+            machine: "vm-1".into(),
+            session: 1,
+        };
+        core.plan(&("job-1".into(), 1), start);
+        core.plan(&("job-2".into(), 0), Entry::Waiting { last: 1 });
+        let order = |s| {
+            let dirty = make_up(
+                &core,
+                &me,
+                96,
+                false,
+                Instant::now() + Duration::from_secs(s),
+            );
+            let jobs: Vec<String> = dirty.into_iter().map(|d| d.job).collect();
+            format!("after {s} s: {}", jobs.join(", "))
+        };
+        insta::assert_snapshot!([1, 3, 5].map(order).join("\n"), @r#"
+        after 1 s: job-1
+        after 3 s: job-1, job-2
+        after 5 s: job-2, job-1
+        "#);
+    }
+
     /// A gang whose planned start lost a machine was written without that task: the others
     /// gathered in vain, and the gang never counted as waiting again.
     #[test]
--- a/src/pipelines/service.rs
+++ b/src/pipelines/service.rs
@@ -13,9 +13,14 @@
 /// cancelled, is final.
 struct Step {
     guard: Guard,
-    ops: Vec<Op>,
+    op: Op,
 }
 
+/// The record of one that was cancelled while it waited: nothing of it ran.
+pub const CANCELLED: Stored = Stored::Over {
+    over: Final::Cancelled,
+};
+
 /// Those that this node sees to: its own, and after it ended a job any that are ready, so that the
 /// next stage need not wait until another node has read the log. Of two that release one the record's
 /// mark lets through a single one.
@@ -32,7 +37,7 @@
         .map(|(id, h)| (id.clone(), h.record.clone(), h.mark))
         .collect();
     let doomed = replica.pipelines.doomed().filter(|(id, _)| ours(id));
-    let doomed = doomed.take(most / 2).map(|(id, h)| (id.clone(), h.mark));
+    let doomed = doomed.take(most).map(|(id, h)| (id.clone(), h.mark));
     let doomed: Vec<(String, u64)> = doomed.collect();
     let guard = |id: &str, mark| Guard {
         k: job_key(id),
@@ -44,16 +49,13 @@
         record.placer = membership::choose_placer(node, core, &record);
         steps.push(Step {
             guard: guard(&id, mark),
-            ops: vec![Op::set(job_key(&id), &Stored::Open(record))],
+            op: Op::set(job_key(&id), &Stored::Open(record)),
         });
     }
     for (id, mark) in doomed {
         steps.push(Step {
             guard: guard(&id, mark),
-            ops: vec![
-                Op::set(final_key(&id), &Final::Cancelled),
-                Op::drop(job_key(&id)),
-            ],
+            op: Op::set(job_key(&id), &CANCELLED),
         });
     }
     steps
@@ -70,14 +72,14 @@
         let (mut guards, mut ops) = (Vec::new(), Vec::new());
         let mut bytes = 0;
         while let Some(step) = steps.first() {
-            let more: usize = step.ops.iter().map(Op::bytes).sum();
-            if ops.len() + step.ops.len() > room || bytes + more > crate::state::MOST_BYTES {
+            let more = step.op.bytes();
+            if ops.len() + 1 > room || bytes + more > crate::state::MOST_BYTES {
                 break;
             }
             let step = steps.remove(0);
             bytes += more;
             guards.push(step.guard);
-            ops.extend(step.ops);
+            ops.push(step.op);
         }
         if ops.is_empty() {
             return true;
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -114,6 +114,8 @@
     changed_jobs: HashSet<String>,
     changed_on: HashSet<String>,
     ended: HashMap<String, Final>,
+    /// Jobs that ended and whose key still stands, with its mark.
+    pub closed: BTreeMap<String, u64>,
     ended_order: VecDeque<String>,
     /// Keys that our own changes dropped before the log told of it, with the drops' marks: what the
     /// log still tells of them from before is over.
@@ -198,6 +200,10 @@
             "j" => match read(key, data) {
                 Some(Stored::Open(record)) => self.put_job(name, record, mark),
                 Some(Stored::Held { held, awaits }) => self.put_held(name, held, awaits, mark),
+                Some(Stored::Over { over }) => {
+                    self.finish(name, over);
+                    self.closed.insert(name.to_owned(), mark);
+                }
                 None => {
                     self.unreadable.insert(name.to_owned());
                 }
@@ -293,11 +299,33 @@
             for task in 0..job.record.spec.tasks {
                 let entry = job.entry(&self.layout, task);
                 job.count(&Entry::default(), &entry);
+                self.index(id, task, &Entry::default(), &entry);
             }
         }
         self.jobs.insert(id.to_owned(), job);
     }
 
+    /// A job ended: nothing of it is on any machine or will be. Its pages are left to be dropped.
+    fn finish(&mut self, id: &str, last: Final) {
+        self.unreadable.remove(id);
+        self.pipelines.remove(id);
+        if let Some(job) = self.jobs.get(id) {
+            let tasks = 0..job.record.spec.tasks;
+            let entries: Vec<Entry> = tasks.map(|task| job.entry(&self.layout, task)).collect();
+            for (task, entry) in entries.iter().enumerate() {
+                self.index(id, task as u32, entry, &Entry::Done);
+            }
+        }
+        if let Some(job) = self.jobs.remove(id) {
+            self.changed_jobs.insert(id.to_owned());
+            self.depart(id, &job.record);
+            for (page, kept) in job.pages {
+                self.orphans.insert((id.to_owned(), page), kept);
+            }
+        }
+        self.remember_ended(id, last);
+    }
+
     fn put_held(&mut self, id: &str, record: JobRecord, awaits: Vec<String>, mark: u64) {
         // It was released or is over since: an older change comes late.
         if self.ended.contains_key(id) || self.jobs.contains_key(id) {
@@ -389,21 +417,26 @@
             }
             if let Some(job) = self.jobs.get_mut(id) {
                 job.count(&old, &new);
+                self.index(id, task, &old, &new);
             }
-            let id = (id.to_owned(), task);
-            if let Entry::Placed { machine, .. } = old {
-                if let Some(on) = self.on.get_mut(&machine) {
-                    on.remove(&id);
-                    if on.is_empty() {
-                        self.on.remove(&machine);
-                    }
+        }
+    }
+
+    /// Which tasks are on which machine, of jobs that have not ended.
+    fn index(&mut self, id: &str, task: u32, old: &Entry, new: &Entry) {
+        let id = (id.to_owned(), task);
+        if let Entry::Placed { machine, .. } = old {
+            if let Some(on) = self.on.get_mut(machine) {
+                on.remove(&id);
+                if on.is_empty() {
+                    self.on.remove(machine);
                 }
-                self.changed_on.insert(machine);
-            }
-            if let Entry::Placed { machine, .. } = new {
-                self.on.entry(machine.clone()).or_default().insert(id);
-                self.changed_on.insert(machine);
             }
+            self.changed_on.insert(machine.clone());
+        }
+        if let Entry::Placed { machine, .. } = new {
+            self.on.entry(machine.clone()).or_default().insert(id);
+            self.changed_on.insert(machine.clone());
         }
     }
 
@@ -428,25 +461,19 @@
         let (slice, name) = rest.split_once('/').unwrap_or((rest, ""));
         match slice {
             "j" => {
-                self.unreadable.remove(name);
                 // One that waits leaves its key in two ways: released, which sets it anew, and
                 // cancelled.
-                if self.pipelines.get(name).is_some_and(|h| h.mark < mark) {
-                    self.pipelines.remove(name);
-                    self.remember_ended(name, Final::Cancelled);
-                }
-                if let Some(job) = self.jobs.remove(name) {
-                    self.changed_jobs.insert(name.to_owned());
-                    self.depart(name, &job.record);
-                    let last = match job.record.cancelled {
-                        true => Final::Cancelled,
-                        false => Final::Done,
-                    };
-                    self.remember_ended(name, last);
-                    for (page, kept) in job.pages {
-                        self.orphans.insert((name.to_owned(), page), kept);
-                    }
+                let waits = self.pipelines.get(name).is_some_and(|h| h.mark < mark);
+                let last = match self.jobs.get(name) {
+                    Some(job) if job.record.cancelled => Some(Final::Cancelled),
+                    Some(_) => Some(Final::Done),
+                    None => waits.then_some(Final::Cancelled),
+                };
+                if let Some(last) = last {
+                    self.finish(name, last);
                 }
+                self.unreadable.remove(name);
+                self.closed.remove(name);
             }
             "p" | "q" => {
                 let Some((id, page)) = page_name(slice, name) else {
@@ -577,6 +604,9 @@
     fn an_older_answer_never_undoes_a_newer_one() {
         let mut replica = Replica::new(wide(8));
         let page = |m: &str| json!([[1, m, 1], true]);
+        let job = json!({"spec": crate::pipelines::tests::spec("job-1", "urgent", None),
+            "accepted_ms": 0});
+        replica.take(vec![change("r/j/job-1", job, 4)], 4);
         replica.take(vec![change("r/p/job-1/0", page("vm-1"), 5)], 5);
         replica.take(vec![change("r/p/job-1/0", page("vm-2"), 7)], 7);
         replica.take(vec![change("r/p/job-1/0", page("vm-1"), 5)], 5);
