--- a/src/renting/decide.rs
+++ b/src/renting/decide.rs
@@ -74,6 +74,10 @@
     for (kind, outlook) in &mut record.kinds {
         outlook.booting = booting(core, &node.me, kind);
         outlook.held = held(node, core, kind, &mapping, now_ms);
+        if core.replica.has_begun() {
+            let held = std::mem::take(&mut outlook.held);
+            outlook.idle = held.into_iter().map(|h| h.name).collect();
+        }
         outlook.arrived = arrived(node, core, kind, now_ms);
     }
     if due {
@@ -414,10 +418,74 @@
         .collect();
     // The record must fit its value; the rest goes with the next event.
     held.sort_by(|a, b| a.remaining_hold_s.total_cmp(&b.remaining_hold_s));
-    let room = node.settings.value_bytes() / (core.kinds.len().max(1) * 160);
-    held.truncate(room.clamp(1, MOST_HELD));
+    let kinds = core.kinds.len().max(1);
+    let room = match core.replica.has_begun() {
+        true => {
+            let longest = held.iter().map(|h| h.name.len() + 3).max().unwrap_or(1);
+            (node.settings.value_bytes() / kinds).saturating_sub(OUTLOOK_BYTES) / longest
+        }
+        false => (node.settings.value_bytes() / (kinds * 160)).min(MOST_HELD),
+    };
+    held.truncate(room.clamp(1, MOST_IDLE));
     held
 }
 
-/// Most machines that one outlook offers to give back, per kind.
+/// Most machines that one outlook offers to give back, per kind; and by their names alone. With 6 a
+/// period, which was all that a value of 2 KiB took, hundreds stood idle for minutes.
 const MOST_HELD: usize = 30;
+const MOST_IDLE: usize = 100;
+/// What a kind takes of an outlook's record beside these names.
+const OUTLOOK_BYTES: usize = 480;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// An outlook that does not fit is refused for ever: with as many idle machines as there are, each
+    /// with a long name, it fits the lowest limit yet.
+    #[test]
+    fn the_largest_outlook_fits_its_record() {
+        let number = 123_456.789_012_345_6;
+        let longest = "vm-with-a-longer-name-000001";
+        let outlook = |names: usize| Outlook {
+            late_now: number,
+            counted_now: number,
+            late_next: number,
+            counted_next: number,
+            running: number,
+            waiting: u32::MAX,
+            startup: u32::MAX,
+            booting: u32::MAX,
+            wanted: number,
+            wanted_spot: number,
+            wanted_else: BTreeMap::from([("another-kind-16".to_owned(), number)]),
+            arrived: u32::MAX,
+            finished: u32::MAX,
+            held: Vec::new(),
+            idle: vec![longest.to_owned(); names],
+        };
+        let mut trace = String::new();
+        for (value, kinds) in [(2048_usize, 2_usize), (2048, 3), (8192, 2), (32768, 3)] {
+            let room = (value / kinds).saturating_sub(OUTLOOK_BYTES) / (longest.len() + 3);
+            let room = room.clamp(1, MOST_IDLE);
+            let of = |n: usize| (format!("a-kind-{n:08}"), outlook(room));
+            let record = OutlookRecord {
+                at_ms: u64::MAX >> 11,
+                puts_per_s: number,
+                fallen: true,
+                kinds: (0..kinds).map(of).collect(),
+            };
+            let bytes = serde_json::to_vec(&record).unwrap().len();
+            assert!(bytes <= value, "{bytes} of {value}");
+            trace.push_str(&format!(
+                "{value} bytes, {kinds} kinds: {room} names each, {bytes}\n"
+            ));
+        }
+        insta::assert_snapshot!(trace, @r#"
+        2048 bytes, 2 kinds: 17 names each, 1951
+        2048 bytes, 3 kinds: 6 names each, 1863
+        8192 bytes, 2 kinds: 100 names each, 7097
+        32768 bytes, 3 kinds: 100 names each, 10605
+        "#);
+    }
+}
--- a/src/renting/give_back.rs
+++ b/src/renting/give_back.rs
@@ -215,9 +215,22 @@
         machine.state = machine.state.max(Use::Returning);
         true
     };
-    write_fleet(node, &names, give_back).await;
+    let mut left = names;
+    for _ in 0..MOST_MARKED {
+        let written = write_fleet(node, &left, give_back).await;
+        if written.is_empty() {
+            return; // they are offered again with the next outlook
+        }
+        left.retain(|name| !written.contains(name));
+        if left.is_empty() {
+            return;
+        }
+    }
 }
 
+/// Transactions by which machines are marked as returning at a time.
+const MOST_MARKED: usize = 3;
+
 /// How long a node that cannot hear its workers leaves them to others.
 const STAND_BACK: Duration = Duration::from_secs(20);
 
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -40,6 +40,10 @@
     pub finished: u32,
     /// Machines past their hold that the mapping has no use for.
     pub held: Vec<Held>,
+    /// The same, by their names alone, once no leader can be of the version before: five times as many
+    /// fit the record.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub idle: Vec<String>,
 }
 
 /// All that a controller publishes.
@@ -73,6 +77,10 @@
         self.arrived += other.arrived;
         self.finished += other.finished;
         self.held.extend(other.held.iter().cloned());
+        self.held.extend(other.idle.iter().map(|name| Held {
+            name: name.clone(),
+            remaining_hold_s: 0.0,
+        }));
     }
 
     pub fn rate_now(&self) -> f64 {
