Plan anew what was to start on machines that go back; starts and puts in order of need

Found by the new debug line 'unfinished for longest'. With it: starts are written in the order in which they were planned, what others leave of the puts goes to who could not write in proportion, records of moves come every 5 s where puts are short. Ruled out: refused records (none was malformed).

--- a/src/counts.rs
+++ b/src/counts.rs
@@ -1,6 +1,7 @@
 //! What a period cost this node: counted as it goes, and logged each period.
 
-use crate::node::Node;
+use crate::jobs::Entry;
+use crate::node::{Core, Node};
 use crate::state::client::Used;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -19,6 +20,8 @@
     /// Of these, pages of jobs that another controller places.
     pub others_pages: u64,
     pub ended: u64,
+    /// Pages that a turn left for the next because no more could be written.
+    pub unwritten: u64,
     /// Pages' transactions whose guards did not hold: their changes count against the limit, too.
     pub lost_races: u64,
     /// Machines looked at by the mapping, and views made anew because something changed.
@@ -43,6 +46,7 @@
             exit_pages: 0,
             others_pages: 0,
             ended: 0,
+            unwritten: 0,
             lost_races: 0,
             steps: 0,
             views: 0,
@@ -82,6 +86,7 @@
         c.exit_pages,
         c.others_pages,
         c.ended,
+        c.unwritten,
         c.lost_races,
         c.steps,
         c.views,
@@ -97,8 +102,43 @@
         jobs = core.replica.jobs.len(),
         "counts"
     );
+    log_oldest(node, &core);
     core.counts = Counts {
         before: all,
         ..Counts::new(now)
     };
 }
+
+/// The jobs that have been unfinished for longest, as far as this node places them: what holds them up
+/// shows in what is recorded, planned and left.
+fn log_oldest(node: &Node, core: &Core) {
+    if !tracing::enabled!(tracing::Level::DEBUG) {
+        return;
+    }
+    let jobs = core.replica.jobs.iter();
+    let mut ours: Vec<_> = jobs.filter(|(id, _)| core.owns_job(&node.me, id)).collect();
+    ours.sort_by_key(|(_, job)| job.record.since_ms());
+    for (id, job) in ours.into_iter().take(3) {
+        let planned = core.plans.of(id);
+        let first = planned.and_then(|p| p.iter().next());
+        let placed = (0..job.record.spec.tasks).find_map(|task| match core.entry(id, task) {
+            Entry::Placed { machine, .. } => Some((task, machine)),
+            _ => None,
+        });
+        let machine = placed.as_ref().map(|(_, name)| name.as_str());
+        let machine = machine.and_then(|name| core.replica.fleet.machines.get(name));
+        tracing::debug!(
+            id,
+            tasks = job.record.spec.tasks,
+            job.done,
+            job.placed,
+            planned = planned.map_or(0, |p| p.len()),
+            ?first,
+            ?placed,
+            owner = ?machine.map(|m| &m.owner.name),
+            waiting = core.views.jobs.get(id).map_or(0, |p| p.waiting.len()),
+            failures = ?core.failures.get(id).map(|f| f.count),
+            "unfinished for longest"
+        );
+    }
+}
--- a/src/jobs/plans.rs
+++ b/src/jobs/plans.rs
@@ -17,6 +17,11 @@
     changed_machines: HashSet<String>,
     /// Since when each job has changes to be recorded.
     since: HashMap<String, Instant>,
+    /// In which place each job's starts were planned last: where not all can be recorded, the first go
+    /// first.
+    ranks: HashMap<String, usize>,
+    /// Pages that a turn left for the next for want of puts, smoothed.
+    unwritten: f64,
     /// Jobs whose page was refused as malformed, and until when it is not sent again.
     refused: HashMap<String, Instant>,
 }
@@ -63,6 +68,7 @@
         if changes.is_empty() {
             self.changes.remove(&id.0);
             self.since.remove(&id.0);
+            self.ranks.remove(&id.0);
         }
         self.leaves(id, before, None);
     }
@@ -110,6 +116,31 @@
         }
     }
 
+    /// Jobs in the order in which their starts were planned.
+    pub fn rank<'a>(&mut self, jobs: impl Iterator<Item = &'a str>) {
+        for (place, job) in jobs.enumerate() {
+            self.ranks.entry(job.to_owned()).or_insert(place);
+        }
+    }
+
+    /// Those whose starts are recorded are ranked anew with the next ones; the others keep their
+    /// places, so that what waits comes to its turn.
+    pub fn unrank(&mut self, job: &str) {
+        self.ranks.remove(job);
+    }
+
+    pub fn rank_of(&self, job: &str) -> usize {
+        self.ranks.get(job).copied().unwrap_or(usize::MAX)
+    }
+
+    pub fn note_unwritten(&mut self, pages: usize) {
+        self.unwritten = self.unwritten * 0.8 + pages as f64 * 0.2;
+    }
+
+    pub fn unwritten(&self) -> f64 {
+        (self.unwritten * 10.0).round() / 10.0
+    }
+
     pub fn leave_alone(&mut self, job: &str, until: Instant) {
         self.refused.insert(job.to_owned(), until);
     }
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -5,6 +5,7 @@
 use super::plans::Changes;
 use super::{Entry, Final, Page, PageId, Stored};
 use crate::fleet::Use;
+use crate::membership::shares::Member;
 use crate::node::{Core, Node};
 use crate::pipelines;
 use crate::state::budget::Need;
@@ -189,6 +190,9 @@
     while !dirty.is_empty() {
         let room = node.state.writes_left(Need::Own).min(ops);
         if room == 0 {
+            let mut core = node.core();
+            core.counts.unwritten += dirty.len() as u64;
+            core.plans.note_unwritten(dirty.len());
             return fine;
         }
         let (mut guards, mut count, mut bytes) = (BTreeMap::new(), 0, 0);
@@ -236,6 +240,7 @@
                         core.workers.call(machine);
                     }
                     core.plans.recorded(&d.job);
+                    core.plans.unrank(&d.job);
                 }
             }
             Err(TxnError::Conflict(failed)) => {
@@ -264,6 +269,7 @@
             }
         }
     }
+    node.core().plans.note_unwritten(0);
     fine
 }
 
@@ -271,6 +277,7 @@
     // The log may have told of new owners since the turn began: what was seen under an ownership
     // that is over must be forgotten before it is written under the next one's mark.
     core.note_ownership(&node.me, now);
+    withdraw_unstartable(core, &node.me);
     withdraw_broken_gangs(core);
     let most_guards = node.settings.txn_ops() * 4;
     let at_ease = node.state.writes_at_ease() >= 0.98;
@@ -279,7 +286,7 @@
 
 fn make_up(
     core: &Core,
-    me: &crate::membership::shares::Member,
+    me: &Member,
     most_guards: usize,
     at_ease: bool,
     now: Instant,
@@ -326,7 +333,12 @@
     // Starts first: a task waits for each of them, and nobody waits for an exit's record. But where
     // starts took all that may be written, exits of others' jobs were never recorded, and what their
     // owners had to place again, or to release after them, waited for minutes.
-    dirty.sort_by_key(|d| (!d.overdue, !d.starts));
+    // Among starts, in the order in which they were planned.
+    let rank = |d: &Dirty| match d.starts {
+        true => core.plans.rank_of(&d.job),
+        false => 0,
+    };
+    dirty.sort_by_key(|d| (!d.overdue, !d.starts, rank(d)));
     dirty
 }
 
@@ -339,7 +351,7 @@
 
 fn make_up_page(
     core: &Core,
-    me: &crate::membership::shares::Member,
+    me: &Member,
     most_guards: usize,
     id: &str,
     job: &Job,
@@ -483,6 +495,28 @@
     }
 }
 
+/// Starts planned on machines that take none any more, because they are on their way back, are planned
+/// anew elsewhere. They could never be written, and the machine, which is not empty with them, would
+/// never go.
+fn withdraw_unstartable(core: &mut Core, me: &Member) {
+    let fleet = &core.replica.fleet.machines;
+    let takes = |name: &str| {
+        let machine = fleet.get(name);
+        machine.is_some_and(|m| m.owner == *me && m.state == Use::Open)
+    };
+    let changes = core
+        .plans
+        .all()
+        .flat_map(|(id, changes)| changes.iter().map(move |(task, entry)| (id, *task, entry)));
+    let lost: Vec<_> = changes
+        .filter(|(_, _, entry)| matches!(entry, Entry::Placed { machine, .. } if !takes(machine)))
+        .map(|(id, task, _)| (id.clone(), task))
+        .collect();
+    for id in lost {
+        core.unplan(&id);
+    }
+}
+
 /// A gang whose planned start lost a machine before it was written is planned anew as a whole: the
 /// rest would gather, wait for the missing task and fail.
 fn withdraw_broken_gangs(core: &mut Core) {
@@ -613,7 +647,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::membership::shares::Member;
     use crate::state::client::Pair;
     use serde_json::{Value, json};
     use std::time::Instant;
@@ -787,6 +820,29 @@
         "#);
     }
 
+    /// Jobs that never ended, with machines that never went back, on troubles after the limits fell: a
+    /// machine was marked as returning while a start that was planned on it waited to be recorded.
+    #[test]
+    fn a_start_planned_on_a_machine_that_goes_back_is_planned_anew() {
+        let (me, mut core) = core();
+        core.note_ownership(&me, Instant::now());
+        let start = Entry::Placed {
+            attempt: 1,
+            machine: "vm-1".into(),
+            session: 1,
+        };
+        core.plan(&("job-1".into(), 1), start);
+        withdraw_unstartable(&mut core, &me);
+        assert_eq!(core.plans.on("vm-1").count(), 1);
+        let mut returning = rental("vm-1", "me", 1);
+        returning["machines"][0][3] = json!(1);
+        put(&mut core, "r/m/r-1", returning, 12);
+        core.note_ownership(&me, Instant::now());
+        withdraw_unstartable(&mut core, &me);
+        assert_eq!(core.plans.on("vm-1").count(), 0);
+        assert_eq!(core.entry("job-1", 1), Entry::Waiting { last: 0 });
+    }
+
     /// Aim `deadline dawn-dispatch-push`, .33 on `troubles` after the limits fell: one node's starts took
     /// all its puts, and it recorded no exit of another's job for a hundred seconds.
     #[test]
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -383,10 +383,13 @@
         let orphaned = present != core.standing.shared_among
             || core.replica.shares.is_none()
             || fleet.values().any(|m| !present.contains(&m.owner));
-        let due = core
-            .standing
-            .shared_at
-            .is_none_or(|at| at.elapsed() >= SHARE_EVERY);
+        // Records of machines that follow the work take the place of starts where puts are short.
+        let every = match node.state.writes_at_ease() < 0.5 {
+            true => SHARE_EVERY * 5,
+            false => SHARE_EVERY,
+        };
+        let shared_at = core.standing.shared_at;
+        let due = shared_at.is_none_or(|at| at.elapsed() >= every);
         if core.kinds.is_empty() || !(due || orphaned) {
             return;
         }
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -12,7 +12,7 @@
 
 const TICK: Duration = Duration::from_millis(400);
 const SHORTEST: Duration = Duration::from_millis(80);
-const LONGEST: Duration = Duration::from_millis(600);
+const LONGEST: Duration = Duration::from_millis(900);
 /// Placing takes no more than a part of the time: reports, health probes and polls come between.
 const PAUSE_PER_WORK: u32 = 3;
 /// Most tasks started in a tick.
@@ -278,6 +278,8 @@
             gang_attempts.insert(start.job, last.max().unwrap_or(0) + 1);
         }
     }
+    core.plans
+        .rank(starts.iter().map(|s| views.jobs[s.job].id.as_str()));
     let mut gangs_let_in = HashSet::new();
     for start in starts {
         let job = &views.jobs[start.job];
--- a/src/renting/decide.rs
+++ b/src/renting/decide.rs
@@ -68,6 +68,7 @@
     let mut record = OutlookRecord {
         at_ms: now_ms,
         puts_per_s: 0.0,
+        unwritten: core.plans.unwritten(),
         fallen: false,
         kinds: outlooks(node, core, views, &mapping),
     };
@@ -98,19 +99,26 @@
         node.state.fall();
     }
     let part = node.state.part().writes;
-    let (mut spare, mut hungry) = (0.0, 1.0);
+    let (mut spare, mut wanted) = (0.0, 0.0);
+    let mut own = 1.0;
     for (name, kept) in &core.replica.outlooks {
-        let fresh = age_s(kept.record.at_ms, now_ms) < node.policy.period_s * 2.0;
-        if *name == node.me.name || !fresh {
+        let record = &kept.record;
+        let mine = *name == node.me.name;
+        let fresh = age_s(record.at_ms, now_ms) < node.policy.period_s * 2.0;
+        if mine || !fresh {
+            own = if mine { 1.0 + record.unwritten } else { own };
             continue; // one that is not heard of may be about to need all of its part
         }
-        let used = kept.record.puts_per_s;
-        if used > part * HUNGRY {
-            hungry += 1.0;
+        let left = (part - record.puts_per_s * 1.1 - part * 0.08).max(0.0);
+        match record.unwritten > 0.0 || record.puts_per_s > part * HUNGRY {
+            true => wanted += 1.0 + record.unwritten,
+            false => spare += left,
         }
-        spare += (part - used * 1.25 - part * 0.15).max(0.0);
     }
-    node.state.set_write_rate(part + spare / hungry);
+    // In proportion to what each could not write: the busiest node has the leader's records, most
+    // machines and the gangs, and had as much as any other.
+    node.state
+        .set_write_rate(part + spare * own / (own + wanted));
 }
 
 /// From this part of its own on, a controller is taken to lack writes.
@@ -472,6 +480,7 @@
             let record = OutlookRecord {
                 at_ms: u64::MAX >> 11,
                 puts_per_s: number,
+                unwritten: number,
                 fallen: true,
                 kinds: (0..kinds).map(of).collect(),
             };
@@ -482,10 +491,10 @@
             ));
         }
         insta::assert_snapshot!(trace, @r#"
-        2048 bytes, 2 kinds: 17 names each, 1951
-        2048 bytes, 3 kinds: 6 names each, 1863
-        8192 bytes, 2 kinds: 100 names each, 7097
-        32768 bytes, 3 kinds: 100 names each, 10605
+        2048 bytes, 2 kinds: 17 names each, 1981
+        2048 bytes, 3 kinds: 6 names each, 1893
+        8192 bytes, 2 kinds: 100 names each, 7127
+        32768 bytes, 3 kinds: 100 names each, 10635
         "#);
     }
 }
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -53,12 +53,19 @@
     /// What it wrote of late, so that others may use what it leaves of its part.
     #[serde(default)]
     pub puts_per_s: f64,
+    /// Pages that it could not write at its last turns, on the mean, for want of puts.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub unwritten: f64,
     /// It saw that the state service's lower limits hold.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub fallen: bool,
     pub kinds: BTreeMap<String, Outlook>,
 }
 
+fn is_none(count: &f64) -> bool {
+    *count == 0.0
+}
+
 impl Outlook {
     pub fn add(&mut self, other: &Outlook) {
         self.late_now += other.late_now;
