--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -385,7 +385,7 @@
             || fleet.values().any(|m| !present.contains(&m.owner));
         // Records of machines that follow the work take the place of starts where puts are short.
         let every = match node.state.writes_at_ease() < 0.5 {
-            true => SHARE_EVERY * 5,
+            true => SHARE_EVERY * 2,
             false => SHARE_EVERY,
         };
         let shared_at = core.standing.shared_at;
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -12,7 +12,7 @@
 
 const TICK: Duration = Duration::from_millis(400);
 const SHORTEST: Duration = Duration::from_millis(80);
-const LONGEST: Duration = Duration::from_millis(900);
+const LONGEST: Duration = Duration::from_millis(600);
 /// Placing takes no more than a part of the time: reports, health probes and polls come between.
 const PAUSE_PER_WORK: u32 = 3;
 /// Most tasks started in a tick.
