Write a rental that is too large for a limit that fell in parts

Fifty machines with their owners take 1.5 KB, more under long names: under a limit below that their owner could never change again. The first part keeps the name, others get one that the mark makes unique.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -128,6 +128,50 @@
     (value_bytes.saturating_sub(HEAD_BYTES) / MACHINE_BYTES).clamp(1, MOST_HIRED)
 }
 
+/// A rental's record as it is to be written, in as many parts as its size asks for: one that was written
+/// under a higher limit would be refused for ever, and its machines never change hands again. The first
+/// part keeps the name and mark; the others are new, under names that the mark makes unique.
+pub fn in_parts(name: &str, kept: Kept<Rental>, value_bytes: usize) -> Vec<(String, Kept<Rental>)> {
+    let fits = |rental: &Rental| {
+        let text = serde_json::to_vec(rental);
+        text.is_ok_and(|text| text.len() <= value_bytes)
+    };
+    let count = kept.record.machines.len();
+    for parts in 1..=count {
+        let cut = |machines: &[Rented]| Rental {
+            machines: machines.to_vec(),
+            count: machines.len() as u32,
+            ..kept.record.clone()
+        };
+        let cut: Vec<Rental> = match parts {
+            1 => vec![kept.record.clone()],
+            _ => kept
+                .record
+                .machines
+                .chunks(count.div_ceil(parts))
+                .map(cut)
+                .collect(),
+        };
+        if cut.iter().all(fits) {
+            let part = |(at, record): (usize, Rental)| match at {
+                0 => (
+                    name.to_owned(),
+                    Kept {
+                        record,
+                        mark: kept.mark,
+                    },
+                ),
+                at => (
+                    format!("{name}.{}-{at}", kept.mark),
+                    Kept { record, mark: 0 },
+                ),
+            };
+            return cut.into_iter().enumerate().map(part).collect();
+        }
+    }
+    vec![(name.to_owned(), kept)]
+}
+
 /// A recorded machine, with what its rental says of it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Machine {
@@ -349,6 +393,37 @@
         }
     }
 
+    /// A rental of fifty machines from before the limit fell to 1 KiB changes hands in parts, and stays
+    /// whole in the replica whichever part comes first.
+    #[test]
+    fn a_rental_that_is_too_large_is_written_in_parts() {
+        let mut old = rental(50, 9);
+        old.open = false;
+        let kept = Kept {
+            record: old.clone(),
+            mark: 7,
+        };
+        assert_eq!(in_parts("r-1", kept.clone(), 8192).len(), 1);
+        let parts = in_parts("r-1", kept, 1536);
+        let names: Vec<_> = parts
+            .iter()
+            .map(|(name, k)| format!("{name}@{} of {}", k.mark, k.record.machines.len()))
+            .collect();
+        insta::assert_snapshot!(names.join(", "), @r#"r-1@7 of 25, r-1.7-1@0 of 25"#);
+        for turned in [false, true] {
+            let mut fleet = Fleet::default();
+            fleet.put("r-1", old.clone(), 7);
+            let mut parts = parts.clone();
+            if turned {
+                parts.reverse();
+            }
+            for (name, part) in parts {
+                fleet.put(&name, part.record, 9);
+            }
+            assert_eq!(fleet.machines.len(), 50);
+        }
+    }
+
     #[test]
     fn a_change_of_owner_is_one_record_and_what_left_is_remembered() {
         let mut fleet = Fleet::default();
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -5,12 +5,13 @@
 pub mod probe;
 pub mod shares;
 
+use crate::fleet::{Rental, in_parts};
 use crate::jobs::JobRecord;
 use crate::node::{Core, Node, age_s, wall_ms};
 use crate::placement::views::{due_after, kinds_for, room_of, urgency_of};
 use crate::placement::{By, Need};
 use crate::state::budget::Need as Budget;
-use crate::state::replica::{LeaderRecord, PresenceRecord};
+use crate::state::replica::{Kept, LeaderRecord, PresenceRecord};
 use crate::state::{
     Guard, LEADER_KEY, Op, SHARES_KEY, TxnError, client::ReadError, presence_key, rental_key,
 };
@@ -438,17 +439,22 @@
             true
         });
         let mut bytes = 0;
-        for (name, kept) in changed.into_iter().take(most) {
-            let op = Op::set(rental_key(&name), &kept.record);
-            bytes += op.bytes();
-            if bytes > crate::state::MOST_BYTES {
+        let before = ops.len();
+        for (name, kept) in changed {
+            let parts = in_parts(&name, kept, node.settings.value_bytes());
+            let set =
+                |(name, kept): &(String, Kept<Rental>)| Op::set(rental_key(name), &kept.record);
+            let new: Vec<Op> = parts.iter().map(set).collect();
+            bytes += new.iter().map(Op::bytes).sum::<usize>();
+            let left = most.saturating_sub(ops.len() - before);
+            if bytes > crate::state::MOST_BYTES || new.len() > left {
                 break;
             }
-            guards.push(Guard {
-                k: rental_key(&name),
+            guards.extend(parts.iter().map(|(name, kept)| Guard {
+                k: rental_key(name),
                 mark: kept.mark,
-            });
-            ops.push(op);
+            }));
+            ops.extend(new);
         }
     }
     if ops.is_empty() {
--- a/src/renting/give_back.rs
+++ b/src/renting/give_back.rs
@@ -3,7 +3,7 @@
 
 use super::service::guard;
 use crate::cloud::{self, MOST_RELEASED};
-use crate::fleet::{Machine, Rental, Rented, Use, most_hired};
+use crate::fleet::{Machine, Rental, Rented, Use, in_parts, most_hired};
 use crate::membership;
 use crate::node::{Core, Node, age_s, wall_ms};
 use crate::state::replica::Kept;
@@ -58,20 +58,22 @@
         let fleet = &core.replica.fleet;
         let changed = fleet.changed_by(names.iter().map(String::as_str), change);
         let mut bytes = 0;
-        for (name, kept) in changed.into_iter().take(most) {
-            let op = match kept.record.machines.is_empty() {
-                true => Op::drop(rental_key(&name)),
-                false => Op::set(rental_key(&name), &kept.record),
+        for (name, kept) in changed {
+            let parts = in_parts(&name, kept, node.settings.value_bytes());
+            let op = |(name, kept): &(String, Kept<Rental>)| match kept.record.machines.is_empty() {
+                true => Op::drop(rental_key(name)),
+                false => Op::set(rental_key(name), &kept.record),
             };
-            bytes += op.bytes();
-            if bytes > crate::state::MOST_BYTES {
+            let new: Vec<Op> = parts.iter().map(op).collect();
+            bytes += new.iter().map(Op::bytes).sum::<usize>();
+            if bytes > crate::state::MOST_BYTES || ops.len() + new.len() > most {
                 break;
             }
-            guards.push(Guard {
-                k: rental_key(&name),
+            guards.extend(parts.iter().map(|(name, kept)| Guard {
+                k: rental_key(name),
                 mark: kept.mark,
-            });
-            ops.push(op);
+            }));
+            ops.extend(new);
             rentals.push(name);
         }
         let is_in = |name: &&String| {
