Leave puts to a controller that lacks them

Now a node that sees another lack puts takes itself to be short, too: exits of its own jobs wait, and what it does not use is the other's. Changes of machines' records stay within what a node may write.

--- a/src/renting/decide.rs
+++ b/src/renting/decide.rs
@@ -115,12 +115,23 @@
             false => spare += left,
         }
     }
+    let outlooks = core.replica.outlooks.iter();
+    let lacks = outlooks
+        .filter(|(name, _)| **name != node.me.name)
+        .any(|(_, o)| {
+            o.record.unwritten >= LACKS
+                && age_s(o.record.at_ms, now_ms) < node.policy.period_s * 2.0
+        });
+    node.state.set_others_lack(lacks);
     // In proportion to what each could not write: the busiest node has the leader's records, most
     // machines and the gangs, and had as much as any other.
     node.state
         .set_write_rate(part + spare * own / (own + wanted));
 }
 
+/// A controller that leaves so many pages for the next turn lacks puts. Those that had them wrote each
+/// exit at once meanwhile, for which nobody waited.
+const LACKS: f64 = 2.0;
 /// From this part of its own on, a controller is taken to lack writes.
 const HUNGRY: f64 = 0.75;
 
--- a/src/renting/give_back.rs
+++ b/src/renting/give_back.rs
@@ -6,6 +6,7 @@
 use crate::fleet::{Machine, Rental, Rented, Use, in_parts, most_hired};
 use crate::membership;
 use crate::node::{Core, Node, age_s, wall_ms};
+use crate::state::budget::Need;
 use crate::state::replica::Kept;
 use crate::state::{Guard, Op, rental_key};
 use std::collections::BTreeMap;
@@ -51,7 +52,9 @@
     names: &[String],
     change: impl FnMut(&mut Rented) -> bool,
 ) -> Vec<String> {
-    let most = node.settings.txn_ops();
+    // Beyond what this node may write it would only be refused, and take others' puts along.
+    let left = node.state.writes_left(Need::User);
+    let most = node.settings.txn_ops().min(left);
     let (mut guards, mut ops, mut rentals) = (Vec::new(), Vec::new(), Vec::new());
     let written: Vec<String> = {
         let core = node.core();
--- a/src/state/client.rs
+++ b/src/state/client.rs
@@ -11,7 +11,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -147,6 +147,8 @@
     next: StateShare,
     falls: Mutex<Falls>,
     writes: Mutex<Budget>,
+    /// Another node could not write all that it had to.
+    others_lack: AtomicBool,
     pub used: Used,
     /// When the rate of puts was last taken, and how many there had been.
     rated: Mutex<(Instant, u64)>,
@@ -170,6 +172,8 @@
     fallen: bool,
 }
 
+/// With another node short of puts, this one is taken to have no more left than this part.
+const LEFT_TO_OTHERS: f64 = 0.4;
 const REFUSALS: usize = 3;
 const REFUSALS_WITHIN: Duration = Duration::from_secs(10);
 
@@ -196,6 +200,7 @@
             falls: Mutex::default(),
             writes: Mutex::new(Budget::new(share.writes, Instant::now())),
             share,
+            others_lack: AtomicBool::new(false),
             used: Used::default(),
             rated: Mutex::new((Instant::now(), 0)),
         }
@@ -217,11 +222,21 @@
         left.max(0.0) as usize
     }
 
-    /// How much of what this node may write at once is left, from 0 to 1.
+    /// Whether another node lacks puts: what this one does not need to write at once it leaves to it.
+    pub fn set_others_lack(&self, lack: bool) {
+        self.others_lack.store(lack, Ordering::Relaxed);
+    }
+
+    /// How much of what this node may write at once is left, from 0 to 1; never much while another node
+    /// lacks it.
     pub fn writes_at_ease(&self) -> f64 {
+        let most = match self.others_lack.load(Ordering::Relaxed) {
+            true => LEFT_TO_OTHERS,
+            false => 1.0,
+        };
         let mut writes = self.writes.lock().unwrap();
         let left = writes.available(Need::Own, Instant::now());
-        (left / (writes.rate() * 0.8)).clamp(0.0, 1.0)
+        (left / (writes.rate() * 0.8)).clamp(0.0, most)
     }
 
     pub fn set_write_rate(&self, rate: f64) {
