--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -100,7 +100,7 @@
     let most = node.settings.txn_ops();
     // Moving a job to its final key takes a change for each of its keys. Where these are short, its
     // end alone is recorded, and the moving waits for a quieter time.
-    let short = node.state.writes_at_ease() < AT_EASE && node.core().replica.has_begun();
+    let short = is_short(node) && node.core().replica.has_begun();
     let mut over: Vec<Ended> = {
         let core = node.core();
         let jobs = core.replica.jobs.iter();
@@ -598,6 +598,14 @@
 
 /// From this part of what may be written at once on, changes are not short.
 const AT_EASE: f64 = 0.5;
+/// Whether changes are short: little may be written now, or of late pages were left for later turns.
+/// At the beginning of a turn a node may write again, however much waits for it.
+fn is_short(node: &Node) -> bool {
+    node.state.writes_at_ease() < AT_EASE || node.core().plans.unwritten() >= LEFT_OVER
+}
+
+/// Pages left for the next turn, on the mean, that tell of a shortage.
+const LEFT_OVER: f64 = 0.5;
 /// So many records of jobs that ended are kept where changes are short; beyond that they go in any
 /// case, or else each reading of all records would grow with them.
 const MOST_LEFT: usize = 4000;
@@ -610,7 +618,7 @@
         let core = node.core();
         let replica = &core.replica;
         let few = replica.closed.len() + replica.orphans.len() < MOST_LEFT;
-        if few && node.state.writes_at_ease() < AT_EASE {
+        if few && (core.plans.unwritten() >= LEFT_OVER || node.state.writes_at_ease() < AT_EASE) {
             return;
         }
         tidying(replica, spare)
