--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -655,6 +655,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::jobs::Layout;
     use crate::state::client::Pair;
     use serde_json::{Value, json};
     use std::time::Instant;
@@ -828,6 +829,122 @@
         "#);
     }
 
+    /// What is written once the limits fell to 2 KiB and 8 changes: a gang of 16 on as many rentals is one
+    /// page; an array of 300, on a machine of its own each, with long names, goes as far as its pages and
+    /// the guards allow, and the rest is planned on.
+    #[test]
+    fn pages_fit_the_lower_limits_by_construction() {
+        let layout = Layout {
+            wide: 170,
+            dense: 128,
+            value_bytes: 2048,
+        };
+        let mut core = Core::new(layout, Instant::now());
+        let me = Member {
+            name: "me".into(),
+            incarnation: 1,
+        };
+        let forms = json!({"seen": ["me"], "layout": {"wide": 170, "dense": 128}});
+        put(&mut core, "r/forms", forms, 1);
+        for (id, shape, tasks) in [("job-1", "group", 16_u32), ("job-2", "array", 300)] {
+            let mut spec = crate::pipelines::tests::spec(id, "urgent", None);
+            spec["shape"] = json!(shape);
+            spec["sacks"] = json!(tasks);
+            let record = json!({"spec": spec, "accepted_ms": 0});
+            put(&mut core, &format!("r/j/{id}"), record, 5);
+            for task in 0..tasks {
+                let name = format!("vm-with-a-longer-name-{id}-{task:06}");
+                let mark = 10 + u64::from(task);
+                put(
+                    &mut core,
+                    &format!("r/m/r-{id}-{task}"),
+                    rental(&name, "me", 1),
+                    mark,
+                );
+            }
+        }
+        // Some of the array's tasks were written on a wide page before.
+        put(&mut core, "r/p/job-2/0", json!([true, 3, true]), 400);
+        core.note_ownership(&me, Instant::now());
+        for (id, tasks) in [("job-1", 16), ("job-2", 300)] {
+            for task in 0..tasks {
+                let machine = format!("vm-with-a-longer-name-{id}-{task:06}");
+                let entry = Entry::Placed {
+                    attempt: 4,
+                    machine,
+                    session: 1,
+                };
+                core.plan(&(id.to_owned(), task), entry);
+            }
+        }
+        let dirty = make_up(&core, &me, 32, true, Instant::now());
+        let mut trace = String::new();
+        for page in &dirty {
+            let bytes = text_of(&page.op).len();
+            let (starts, guards) = (page.machines.len(), page.guards.len());
+            assert!(bytes <= 2048 && guards <= 32);
+            let key = page_key(&page.job, page.number);
+            trace.push_str(&format!(
+                "{key}: {starts} starts, {guards} guards, {bytes} bytes\n"
+            ));
+        }
+        let under = dirty
+            .iter()
+            .filter(|d| d.job == "job-2")
+            .flat_map(|d| &d.guards);
+        let under: Vec<_> = under.filter(|g| g.k.starts_with("r/p/")).collect();
+        trace.push_str(&format!(
+            "brought over under {} marks of wide pages\n",
+            under.len()
+        ));
+        insta::assert_snapshot!(trace, @r#"
+        r/q/job-1/0: 16 starts, 20 guards, 685 bytes
+        r/q/job-2/0: 28 starts, 32 guards, 1195 bytes
+        r/q/job-2/1: 27 starts, 32 guards, 1147 bytes
+        r/q/job-2/2: 27 starts, 32 guards, 1147 bytes
+        brought over under 5 marks of wide pages
+        "#);
+    }
+
+    fn text_of(op: &Op) -> &str {
+        match op {
+            Op::Set { data, .. } => data.get(),
+            Op::Drop { .. } => "",
+        }
+    }
+
+    /// Where changes are short a job's end is one change. It counts at once: its tasks hold no room, what
+    /// waits for it is ready, a repeat of its submission finds it; and it is moved under its mark later.
+    #[test]
+    fn a_job_that_ended_is_moved_later() {
+        let (_, mut core) = core();
+        let waits = json!({"held": {"spec": crate::pipelines::tests::spec("job-2", "urgent", None),
+            "accepted_ms": 0}, "awaits": ["job-1"]});
+        put(&mut core, "r/j/job-2", waits, 9);
+        put(&mut core, "r/j/job-1", json!({"over": "done"}), 12);
+        let replica = &core.replica;
+        assert_eq!(replica.ended("job-1"), Some(Final::Done));
+        assert!(replica.on.is_empty() && replica.knows("job-1"));
+        assert_eq!(replica.pipelines.ready().count(), 1);
+        let mut trace = String::new();
+        for most in [1, 2, 8] {
+            let (guards, ops) = tidying(replica, most);
+            let ops: Vec<String> = ops
+                .iter()
+                .map(|op| match op {
+                    Op::Set { set, data, .. } => format!("{set}={data}"),
+                    Op::Drop { drop } => format!("-{drop}"),
+                })
+                .collect();
+            trace.push_str(&format!("{most}: {} if {guards:?}\n", ops.join(" ")));
+        }
+        insta::assert_snapshot!(trace, @r#"
+        1: -r/p/job-1/0 if []
+        2: e/job-1="done" -r/j/job-1 if [Guard { k: "r/j/job-1", mark: 12 }]
+        8: e/job-1="done" -r/j/job-1 -r/p/job-1/0 if [Guard { k: "r/j/job-1", mark: 12 }]
+        "#);
+    }
+
     /// Jobs that never ended, with machines that never went back, on troubles after the limits fell: a
     /// machine was marked as returning while a start that was planned on it waited to be recorded.
     #[test]
