Tell blind nodes what was cancelled, and renew leases for as long as all vouch

Cause: while the state service is down for longer than cancel_s, each owner stops renewing its workers blind_limit after its last reading, so that what another node confirmed cannot outlive cancel_s.

Change: a node without contact asks each other node once a second which jobs its records call cancelled. It stops these and no others. Leases go on past the floor only if every configured node, in the incarnation last known, has answered within blind_limit and has no contact either.

The scene of service tests now has contact with the state service, which it took for granted; stand-in workers now keep leases and sessions.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -132,10 +132,9 @@
     let body = Limited::new(request.into_body(), MOST_BODY);
     match tokio::time::timeout(READ_LIMIT, body.collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(problem)) if problem.is::<http_body_util::LengthLimitError>() => Err(error(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is over 64 KiB",
-        )),
+        Ok(Err(problem)) if problem.is::<http_body_util::LengthLimitError>() => {
+            Err(error(StatusCode::BAD_REQUEST, "the body is over 64 KiB"))
+        }
         Ok(Err(_)) => Err(error(StatusCode::BAD_REQUEST, "the body broke off")),
         Err(_) => Err(error(
             StatusCode::REQUEST_TIMEOUT,
@@ -150,7 +149,7 @@
     let blind = Duration::from_millis(3500);
     let ready = node.core().loaded && !node.core().kinds.is_empty();
     if !node.has_state(blind) || !ready {
-        let others = *node.peers_have_state.lock().unwrap();
+        let others = node.heard().have_state;
         let others_have = others.is_some_and(|at| at.elapsed() < Duration::from_secs(3));
         if others_have || node.core().proof.is_none() {
             return come_back(StatusCode::SERVICE_UNAVAILABLE, 2, "no state service");
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -1,7 +1,7 @@
 //! Submissions, polls and cancellations.
 
 use super::{Answer, Server, come_back, error, json};
-use crate::jobs::{Final, JobRecord, JobSpec, Stage, Stored, Submission, is_job_id};
+use crate::jobs::{Final, JobRecord, JobSpec, SpecError, Stage, Stored, Submission, is_job_id};
 use crate::membership;
 use crate::node::{Core, Node, wall_ms};
 use crate::pipelines::service::{CANCELLED, look_up_needs};
@@ -10,6 +10,7 @@
 use crate::state::{Guard, Op, TxnError, final_key, job_key};
 use hyper::StatusCode;
 use serde::Serialize;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -71,6 +72,10 @@
     if let Some(last) = node.core().replica.ended(id) {
         return Known::Over(last);
     }
+    // Nor does a cancellation that another node confirmed, whether it is in the records here or not.
+    if node.heard().cancelled.contains(id) {
+        return Known::Live(Stage::Cancelled, 0, 0);
+    }
     if !node.has_state(OUT) || !node.sync().await {
         return Known::Unclear;
     }
@@ -140,10 +145,7 @@
     let node = &server.node;
     let Submission { spec, awaits } = match Submission::read(body) {
         Ok(read) => read,
-        Err(problem) => {
-            // A job that was accepted is known whatever a repeat of it carries.
-            return error(StatusCode::BAD_REQUEST, &problem.to_string());
-        }
+        Err(problem) => return refuse(server, body, &problem).await,
     };
     let id = spec.id.clone();
     let ended = {
@@ -255,6 +257,24 @@
     }
 }
 
+/// What cannot be read as a submission. A job that was accepted is known whatever a repeat of it
+/// carries: a 400 would tell its user that it is not.
+async fn refuse(server: &Server, body: &[u8], problem: &SpecError) -> Answer {
+    let never = || error(StatusCode::BAD_REQUEST, &problem.to_string());
+    let Some(id) = Submission::names(body) else {
+        return never();
+    };
+    let Some(_permit) = server.limit.enter(0.8) else {
+        return busy();
+    };
+    match look_up(&server.node, &id).await {
+        Known::Live(stage, ..) => json(StatusCode::OK, &told(&id, stage)),
+        Known::Over(last) => json(StatusCode::OK, &told(&id, last.into())),
+        Known::Unclear => no_state(),
+        Known::Never => never(),
+    }
+}
+
 /// How the jobs stand that a new one has to wait for.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Before {
@@ -356,13 +376,17 @@
     if core.kinds.is_empty() {
         return Verdict::Undecided;
     }
-    if kinds_for(&core, spec).is_empty() {
+    let kinds = kinds_for(&core, spec);
+    if kinds.is_empty() {
         let fits_some = core.kinds.iter().any(|k| spec.need().fits(&room_of(k)));
         return Verdict::Never(match fits_some {
             true => "no allowed machine type takes a task of it",
             false => "no machine type takes a task of it",
         });
     }
+    if spec.is_parted() && !has_two_zones(&core, spec, &kinds) {
+        return Verdict::Never("no two zones for tasks that may not all be in one");
+    }
     // A controller of the version before would run it at once.
     if !awaits.is_empty() && !core.replica.has_begun() {
         return Verdict::NotYet;
@@ -370,6 +394,13 @@
     Verdict::Takes
 }
 
+/// Whether a job whose tasks must not all be in one zone may use two.
+fn has_two_zones(core: &Core, spec: &JobSpec, kinds: &[String]) -> bool {
+    let kinds = kinds.iter().filter_map(|name| core.kind(name));
+    let zones: BTreeSet<&String> = kinds.flat_map(|kind| &kind.zones).collect();
+    !spec.one_zone && spec.zone.is_none() && zones.len() > 1
+}
+
 pub async fn abort(server: &Server, id: &str) -> Answer {
     if !is_job_id(id) {
         return error(StatusCode::NOT_FOUND, "no such job");
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -7,7 +7,7 @@
 pub mod writer;
 
 pub use pages::{Entry, Layout, Page, PageId};
-pub use spec::{JobSpec, Shape, Submission, Urgency, is_job_id};
+pub use spec::{JobSpec, Shape, SpecError, Submission, Urgency, is_job_id};
 
 use serde::{Deserialize, Serialize};
 
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -114,6 +114,13 @@
 }
 
 impl Submission {
+    /// The job that a body is about which may be no submission otherwise.
+    pub fn names(body: &[u8]) -> Option<String> {
+        let value: Value = serde_json::from_slice(body).ok()?;
+        let id = value.get("nameId")?.as_str()?;
+        is_job_id(id).then(|| id.to_owned())
+    }
+
     pub fn read(body: &[u8]) -> Result<Self, SpecError> {
         let value: Value = serde_json::from_slice(body).map_err(|_| SpecError::NotJson)?;
         let Value::Object(map) = value else {
@@ -183,6 +190,11 @@
         }
     }
 
+    /// Whether its tasks need two zones.
+    pub fn is_parted(&self) -> bool {
+        self.most_in_zone() < self.tasks
+    }
+
     pub fn is_service(&self) -> bool {
         self.shape == Shape::Service
     }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -76,8 +76,10 @@
                 node.core().standing.lease = None;
             }
             Ok(()) => {
-                campaign(node, lease).await;
-                forms::keep(node).await;
+                if announce(node, lease).await {
+                    campaign(node, lease).await;
+                    forms::keep(node).await;
+                }
             }
             Err(_) => {}
         },
@@ -108,17 +110,55 @@
     let Ok(lease) = node.state.create_lease(ttl).await else {
         return;
     };
-    node.core().standing.lease_proof = Some(sent);
+    {
+        let mut core = node.core();
+        core.standing.lease_proof = Some(sent);
+        core.standing.lease = Some(lease);
+    }
+    if announce(node, lease).await && node.sync().await {
+        campaign(node, lease).await;
+    }
+}
+
+/// Sees to it that this node's presence is there, on its lease of now; whether it is. One put
+/// without an answer may be carried out seconds later, after the next: it would take the key to a
+/// lease that nobody extends, with which it ends, and the node would be nobody's for good. So each
+/// is guarded by the mark before, and what the records tell is compared at each turn.
+async fn announce(node: &Node, lease: u64) -> bool {
     let record = PresenceRecord {
         incarnation: node.me.incarnation,
         lease,
         forms: node.can,
     };
-    let put = leased(presence_key(me), &record, lease);
-    if node.state.transact(&[], &[put]).await.is_ok() {
-        node.core().standing.lease = Some(lease);
-        if node.sync().await {
-            campaign(node, lease).await;
+    let key = presence_key(&node.me.name);
+    let mark = {
+        let core = node.core();
+        let held = core.replica.presence.get(&node.me.name);
+        if held.is_some_and(|held| held.record == record) {
+            return true;
+        }
+        held.map_or(0, |held| held.mark)
+    };
+    let guard = Guard {
+        k: key.clone(),
+        mark,
+    };
+    let put = leased(key, &record, lease);
+    match node
+        .state
+        .transact(&[guard], std::slice::from_ref(&put))
+        .await
+    {
+        Ok(ledger) => {
+            node.core().apply(vec![put], ledger);
+            true
+        }
+        Err(error) => {
+            if matches!(error, TxnError::NoLease) {
+                node.core().standing.lease = None;
+            }
+            node.sync().await;
+            false
         }
     }
 }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -1,11 +1,15 @@
-//! What the nodes tell one another directly: whether they reach the state service. Frames are
-//! `bitcode`, each behind its length.
+//! What the nodes tell one another directly: whether they reach the state service, and what they
+//! know to be cancelled. Frames are `bitcode`, each behind its length.
+
+pub mod vouch;
 
 use crate::node::Node;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 
 #[derive(Debug, bitcode::Encode, bitcode::Decode)]
 pub struct Status {
@@ -34,7 +38,11 @@
 }
 
 async fn receive(stream: &mut TcpStream) -> std::io::Result<Status> {
-    let length = stream.read_u16().await? as usize;
+    let length = stream.read_u16().await?;
+    receive_rest(stream, length.into()).await
+}
+
+async fn receive_rest(stream: &mut TcpStream, length: usize) -> std::io::Result<Status> {
     if length > MOST_FRAME {
         return Err(std::io::ErrorKind::InvalidData.into());
     }
@@ -53,38 +61,77 @@
         let node = node.clone();
         tokio::spawn(async move {
             let talk = async {
-                let _asker = receive(&mut stream).await?;
-                send(&mut stream, &status(&node)).await
+                match stream.read_u16().await? {
+                    vouch::ASKED => vouch::answer(&node, &mut stream).await,
+                    length => {
+                        let _asker = receive_rest(&mut stream, length.into()).await?;
+                        send(&mut stream, &status(&node)).await
+                    }
+                }
             };
             let _ = tokio::time::timeout(Duration::from_secs(2), talk).await;
         });
     }
 }
 
+/// Longest that a question may take.
+const ANSWER_WITHIN: Duration = Duration::from_millis(500);
+/// Contact this fresh leaves nothing to ask.
+const CONTACT: Duration = Duration::from_millis(2000);
+
+async fn ask_status(peer: SocketAddr, own: Status) -> std::io::Result<Status> {
+    let mut stream = TcpStream::connect(peer).await?;
+    send(&mut stream, &own).await?;
+    receive(&mut stream).await
+}
+
 /// Asks the others, but only while this node itself lacks the state service.
 pub async fn ask(node: Arc<Node>) {
     loop {
         tokio::time::sleep(EVERY).await;
-        if node.has_state(Duration::from_millis(2000)) {
+        let proof = node.core().proof;
+        if let Some(proof) = proof.filter(|p| p.elapsed() <= CONTACT) {
+            node.heard().settle(proof);
             continue;
         }
-        for peer in &node.settings.peers {
-            let talk = async {
-                let mut stream = TcpStream::connect(peer.addr).await?;
-                send(&mut stream, &status(&node)).await?;
-                receive(&mut stream).await
-            };
-            let answer = tokio::time::timeout(Duration::from_millis(500), talk).await;
-            if matches!(answer, Ok(Ok(_))) {
-                *node.peers_heard.lock().unwrap() = Some(Instant::now());
-            }
-            if let Ok(Ok(told)) = answer
-                && told.state_age_ms.is_some_and(|age| age < FRESH_MS)
-            {
-                tracing::debug!(peer = told.member, "another node has the state service");
-                *node.peers_have_state.lock().unwrap() = Some(Instant::now());
-                break;
-            }
+        let mut asked = JoinSet::new();
+        for (name, addr) in node.settings.peers.iter().map(|p| (&p.member, p.addr)) {
+            let (node, name) = (node.clone(), name.clone());
+            asked.spawn(async move {
+                let told = tokio::time::timeout(ANSWER_WITHIN, ask_status(addr, status(&node)));
+                let has_state = match told.await {
+                    Ok(Ok(told)) => Some(hear(&node, &told)),
+                    _ => None,
+                };
+                let since = Instant::now();
+                let vouch = tokio::time::timeout(ANSWER_WITHIN, vouch::ask(addr)).await;
+                if let Ok(Ok(vouch)) = vouch {
+                    let known = node.core().replica.presence.get(&name).cloned();
+                    let known = known.map(|p| p.record.incarnation);
+                    node.heard().take(&name, known, vouch, since);
+                }
+                has_state
+            });
+        }
+        let mut all_lack = true;
+        while let Some(has_state) = asked.join_next().await {
+            all_lack &= matches!(has_state, Ok(Some(false)));
+        }
+        // What one said a moment before must not keep sending workers on that nobody else answers.
+        if all_lack {
+            node.heard().have_state = None;
         }
     }
 }
+
+/// Whether the one that told so has the state service.
+fn hear(node: &Node, told: &Status) -> bool {
+    let has_state = told.state_age_ms.is_some_and(|age| age < FRESH_MS);
+    let mut heard = node.heard();
+    heard.any = Some(Instant::now());
+    if has_state {
+        tracing::debug!(peer = told.member, "another node has the state service");
+        heard.have_state = Some(Instant::now());
+    }
+    has_state
+}
--- /dev/null
+++ b/src/mesh/vouch/tests.rs
@@ -0,0 +1,52 @@
+use super::*;
+
+fn told(incarnation: u64, stands: bool, cancelled: &[&str]) -> Vouch {
+    Vouch {
+        incarnation,
+        stands,
+        cancelled: cancelled.iter().map(|id| (*id).to_owned()).collect(),
+    }
+}
+
+/// Rule `ran_cancelled`: leases go on past the floor only if every other controller, in the
+/// incarnation last known, has vouched. One that is silent, restarted, loading its records or in
+/// contact with the state service is no proof, whatever it tells.
+#[test]
+fn only_all_of_the_others_vouch_for_what_was_confirmed() {
+    let start = Instant::now();
+    let at = |s| start + Duration::from_secs(s);
+    let mut heard = Heard::default();
+    let mut trace = String::new();
+    let mut say = |what: &str, heard: &Heard| {
+        let vouched = heard.vouched(["n-1", "n-2"]);
+        let vouched = vouched.map(|at| (at - start).as_secs());
+        let known: Vec<_> = heard.cancelled.iter().cloned().collect();
+        trace.push_str(&format!("{what}: up to {vouched:?}, cancelled {known:?}\n"));
+    };
+    heard.take("n-1", Some(7), told(7, true, &["job-1"]), at(3));
+    say("one of two", &heard);
+    heard.take("n-2", Some(8), told(9, true, &["job-2"]), at(4));
+    say("the other restarted", &heard);
+    heard.take("n-2", None, told(8, true, &[]), at(4));
+    say("the other is in no record", &heard);
+    heard.take("n-2", Some(8), told(8, false, &[]), at(4));
+    say("it has the state service", &heard);
+    heard.take("n-2", Some(8), told(8, true, &[]), at(5));
+    say("it vouches", &heard);
+    heard.take("n-1", Some(7), told(7, true, &["job-1"]), at(9));
+    say("the first again, the other is silent", &heard);
+    heard.settle(start);
+    say("contact, but from before what was told", &heard);
+    heard.settle(Instant::now() + Duration::from_secs(1));
+    say("contact", &heard);
+    insta::assert_snapshot!(trace, @r#"
+    one of two: up to None, cancelled ["job-1"]
+    the other restarted: up to None, cancelled ["job-1", "job-2"]
+    the other is in no record: up to None, cancelled ["job-1", "job-2"]
+    it has the state service: up to None, cancelled ["job-1", "job-2"]
+    it vouches: up to Some(3), cancelled ["job-1", "job-2"]
+    the first again, the other is silent: up to Some(5), cancelled ["job-1", "job-2"]
+    contact, but from before what was told: up to None, cancelled ["job-1", "job-2"]
+    contact: up to None, cancelled []
+    "#);
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
 use crate::jobs::{Entry, JobSpec, Layout};
 use crate::membership::Standing;
 use crate::membership::shares::Member;
+use crate::mesh::vouch::Heard;
 use crate::placement::cache::Cache;
 use crate::policy::Policy;
 use crate::renting::service::RentState;
@@ -24,6 +25,8 @@
     /// When the request was sent whose answer last proved contact with the state service and
     /// brought all changes up to then.
     pub proof: Option<Instant>,
+    /// Since when it has had contact without a longer break.
+    pub contact_since: Option<Instant>,
     pub loaded: bool,
     pub standing: Standing,
     pub plans: Plans,
@@ -51,9 +54,7 @@
     pub stirred: Notify,
     /// Placing ticks, counted as they begin and as they end.
     ticks: watch::Sender<(u64, u64)>,
-    pub peers_have_state: Mutex<Option<Instant>>,
-    /// When another controller last answered at all.
-    pub peers_heard: Mutex<Option<Instant>>,
+    heard: Mutex<Heard>,
 }
 
 /// For so long no other controller has answered, each asked once a second.
@@ -79,8 +80,7 @@
             sync_wanted: Notify::new(),
             stirred: Notify::new(),
             ticks: watch::Sender::new((0, 0)),
-            peers_have_state: Mutex::new(None),
-            peers_heard: Mutex::new(None),
+            heard: Mutex::default(),
             settings,
             policy,
         }
@@ -90,6 +90,11 @@
         self.core.lock().unwrap()
     }
 
+    /// What the other controllers told over the mesh. Taken after the core, if both are.
+    pub fn heard(&self) -> MutexGuard<'_, Heard> {
+        self.heard.lock().unwrap()
+    }
+
     /// Waits for a read of the state service that was sent after this call: whatever any node
     /// told any user before is then in the replica. One read serves all who wait.
     pub async fn sync(&self) -> bool {
@@ -123,7 +128,7 @@
     /// presence is over, and its machines belong to others. In an outage for all, leases stand
     /// still and the machines stay.
     pub fn is_cut_off(&self) -> bool {
-        let others = *self.peers_have_state.lock().unwrap();
+        let others = self.heard().have_state;
         let ttl = self.settings.presence_ttl();
         let proof = self.core().standing.lease_proof;
         proof.is_none_or(|p| p.elapsed() > ttl)
@@ -145,11 +150,27 @@
         };
         let alone = self.settings.params.size > 1
             && lost_for(self.settings.presence_ttl() + PEERS_SILENT)
-            && silent(*self.peers_heard.lock().unwrap());
+            && silent(self.heard().any);
         let mut core = self.core();
         core.standing.probe.sends_on(machine, alone, Instant::now())
     }
 
+    /// Whether a worker's report may be answered, which renews its lease. A cancellation that this
+    /// node has not heard of would outlive `cancel_s` on a machine that it keeps alive. So it must
+    /// have read the records within `blind_limit`, or every other controller must have told it
+    /// within that time what was cancelled, having no contact either.
+    pub fn may_renew(&self) -> bool {
+        let blind = self.settings.blind_limit();
+        let core = self.core();
+        let Some(proof) = core.proof.filter(|_| core.loaded) else {
+            return false;
+        };
+        let peers = self.settings.peers.iter().map(|p| p.member.as_str());
+        let all_are_known = self.settings.peers.len() + 1 >= self.settings.params.size as usize;
+        let vouched = self.heard().vouched(peers).filter(|_| all_are_known);
+        proof.max(vouched.unwrap_or(proof)).elapsed() <= blind
+    }
+
     /// Whether the state service answered lately.
     pub fn has_state(&self, within: Duration) -> bool {
         self.core().proof.is_some_and(|p| p.elapsed() <= within)
@@ -161,6 +182,7 @@
         Self {
             replica: Replica::new(layout),
             proof: None,
+            contact_since: None,
             loaded: false,
             standing: Standing::default(),
             plans: Plans::default(),
--- a/src/renting/give_back.rs
+++ b/src/renting/give_back.rs
@@ -302,7 +302,9 @@
             None => {
                 let boot = core.kinds.iter().find(|k| k.name == record.kind);
                 let boot = boot.map_or(60.0, |k| k.boot_s);
-                let known = now.saturating_duration_since(*since);
+                // In an outage it may also keep them for as long as that lasts (`may_renew`).
+                let known =
+                    now.saturating_duration_since(core.contact_since.unwrap_or(now).max(*since));
                 let unheard = age_s(record.hired_ms, now_ms) > boot * 3.0 + 15.0;
                 // An owner before us that is cut off from the state service may keep the worker
                 // for as long as it may go without proof; only then does silence mean anything.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -314,11 +314,20 @@
     }
 
     /// How long a node may renew workers after its last proof of state contact. Past this, a
-    /// cancellation it never heard of could outlive `cancel_s` on a machine it keeps alive.
+    /// cancellation it never heard of could outlive `cancel_s` on a machine it keeps alive. The
+    /// margin is for what passes between the end of a lease and the end of its tasks, and for
+    /// clocks that run apart; where `cancel_s` is hardly above `lease_s` it takes a third of what
+    /// lies between, and where it is not above it no lease may be renewed without a new reading.
     pub fn blind_limit(&self) -> Duration {
         let w = &self.params.workers;
-        let margin = 2.0 + w.cancel_s * 0.002 + self.params.skew_ms / 1000.0;
-        Duration::from_secs_f64((w.cancel_s - w.lease_s * 1.001 - margin).max(0.5))
+        let between = w.cancel_s * 0.998 - w.lease_s * 1.001 - self.params.skew_ms / 1000.0;
+        Duration::from_secs_f64((between - (between / 3.0).min(2.0)).max(0.0))
+    }
+
+    /// How long a reading of the log may wait for changes: so that the proof that it gives is
+    /// never much older than workers may be answered by it.
+    pub fn follow_hold(&self) -> Duration {
+        (self.blind_limit() / 3).clamp(Duration::from_millis(100), Duration::from_secs(1))
     }
 
     /// How jobs are divided into pages of progress.
--- a/src/standins/cloud.rs
+++ b/src/standins/cloud.rs
@@ -1,7 +1,7 @@
 //! A cloud whose machines run workers: they report, heed tokens and leases, and run each task for
-//! a set time. Whatever breaks a rule is noted.
+//! a set time. Whatever breaks a rule is noted, by what the machines themselves see.
 
-use super::{Asked, Reply, ask};
+use super::{Asked, Reply, Times, ask};
 use hyper::Method;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -19,6 +19,16 @@
     done: HashSet<String>,
     /// By job, the tasks that must be done before any of its own starts.
     pub needs: HashMap<String, Vec<String>>,
+    /// Jobs that users were told are cancelled, and when first.
+    cancelled: HashMap<String, Instant>,
+    /// Machines that do nothing, that reach no controller, and that no answer reaches.
+    pub hung: HashSet<String>,
+    pub mute: HashSet<String>,
+    pub deaf: HashSet<String>,
+    /// Sessions that ended with tasks.
+    pub lapses: usize,
+    /// How often each task started.
+    pub started: BTreeMap<String, usize>,
     pub starts: usize,
     pub most_at_once: usize,
     pub broken: Vec<String>,
@@ -28,6 +38,39 @@
     pub fn nothing_runs(&self) -> bool {
         self.on.is_empty()
     }
+
+    /// A user was told so.
+    pub fn note_cancelled(&mut self, job: &str) {
+        self.cancelled
+            .entry(job.to_owned())
+            .or_insert_with(Instant::now);
+    }
+
+    pub fn tasks_of(&self, job: &str) -> usize {
+        self.on.keys().filter(|task| job_of(task) == job).count()
+    }
+
+    fn note_broken(&mut self, broken: String) {
+        if !self.broken.contains(&broken) {
+            self.broken.push(broken);
+        }
+    }
+
+    /// Rule `ran_cancelled`.
+    fn watch(&mut self, cancel: Duration) {
+        let over = |task: &&String| {
+            let since = self.cancelled.get(job_of(task));
+            since.is_some_and(|at| at.elapsed() > cancel)
+        };
+        let late: Vec<String> = self.on.keys().filter(over).cloned().collect();
+        for task in late {
+            self.note_broken(format!("{task} runs on, too long after its cancellation"));
+        }
+    }
+}
+
+fn job_of(task: &str) -> &str {
+    task.split('/').next().unwrap_or(task)
 }
 
 #[derive(Clone)]
@@ -35,14 +78,16 @@
     pub world: Arc<Mutex<World>>,
     controllers: Vec<SocketAddr>,
     task_takes: Duration,
+    times: Times,
 }
 
 impl Cloud {
-    pub fn new(controllers: Vec<SocketAddr>, task_takes: Duration) -> Self {
+    pub fn new(controllers: Vec<SocketAddr>, task_takes: Duration, times: Times) -> Self {
         Self {
             world: Arc::default(),
             controllers,
             task_takes,
+            times,
         }
     }
 
@@ -101,8 +146,11 @@
     name: String,
     cloud: Cloud,
     token: u64,
+    session: u64,
     seq: u64,
     at: usize,
+    /// When the last answered report was sent, or this session began.
+    renewed: Instant,
     /// Task -> attempt, since when, whether it has ended.
     tasks: BTreeMap<String, (u64, Instant, bool)>,
 }
@@ -113,8 +161,10 @@
             name,
             cloud,
             token: 0,
+            session: 1,
             seq: 0,
             at: 0,
+            renewed: Instant::now(),
             tasks: BTreeMap::new(),
         }
     }
@@ -122,21 +172,39 @@
     async fn run(mut self) {
         loop {
             tokio::time::sleep(Duration::from_millis(100)).await;
+            let (hung, mute) = {
+                let mut world = self.cloud.world.lock().unwrap();
+                world.watch(self.cloud.times.cancel());
+                (
+                    world.hung.contains(&self.name),
+                    world.mute.contains(&self.name),
+                )
+            };
+            if hung {
+                continue;
+            }
+            let lease = self.cloud.times.lease();
+            if self.renewed.elapsed() > lease {
+                self.lapse();
+            }
             self.end_tasks();
-            let states = self.tasks.iter().map(|(task, (attempt, _, ended))| {
-                if *ended {
-                    json!({"sack": task, "turn": attempt, "stage": "ended", "cause": "done"})
-                } else {
-                    json!({"sack": task, "turn": attempt, "stage": "running"})
-                }
-            });
-            self.seq += 1;
-            let report = json!({"millstone": self.name, "endpoint": "127.0.0.1:9", "stone": "m4",
-                "yard": "a", "borrowed": false, "shift": 1, "tally": self.seq,
-                "warrant": self.token, "recallS": null, "sacks": states.collect::<Vec<_>>()});
+            if mute {
+                continue;
+            }
+            let report = self.report();
             let addr = self.cloud.controllers[self.at];
-            match ask(addr, Method::POST, "/hello", report).await {
-                (200, answer) => self.obey(&answer),
+            let sent = Instant::now();
+            let left = lease.saturating_sub(self.renewed.elapsed());
+            let answer = ask(addr, Method::POST, "/hello", report);
+            let Ok(answer) = tokio::time::timeout(left, answer).await else {
+                self.at = (self.at + 1) % self.cloud.controllers.len();
+                continue;
+            };
+            if self.cloud.world.lock().unwrap().deaf.contains(&self.name) {
+                continue;
+            }
+            match answer {
+                (200, answer) => self.obey(&answer, sent),
                 (421, answer) if answer["miller"].is_string() => {
                     let name = answer["miller"].as_str().unwrap();
                     self.at = name.trim_start_matches("millstone-").parse().unwrap();
@@ -146,6 +214,31 @@
         }
     }
 
+    fn report(&mut self) -> Value {
+        let states = self.tasks.iter().map(|(task, (attempt, _, ended))| {
+            if *ended {
+                json!({"sack": task, "turn": attempt, "stage": "ended", "cause": "done"})
+            } else {
+                json!({"sack": task, "turn": attempt, "stage": "running"})
+            }
+        });
+        self.seq += 1;
+        json!({"millstone": self.name, "endpoint": "127.0.0.1:9", "stone": "m4",
+            "yard": "a", "borrowed": false, "shift": self.session, "tally": self.seq,
+            "warrant": self.token, "recallS": null, "sacks": states.collect::<Vec<_>>()})
+    }
+
+    /// Its lease is out: it kills and forgets every task and goes on with the next session.
+    fn lapse(&mut self) {
+        let mut world = self.cloud.world.lock().unwrap();
+        world.lapses += usize::from(!self.tasks.is_empty());
+        let name = &self.name;
+        world.on.retain(|_, on| on != name);
+        self.tasks.clear();
+        self.session += 1;
+        self.renewed = Instant::now();
+    }
+
     fn end_tasks(&mut self) {
         let takes = self.cloud.task_takes;
         let mut world = self.cloud.world.lock().unwrap();
@@ -158,12 +251,13 @@
         }
     }
 
-    fn obey(&mut self, answer: &Value) {
+    fn obey(&mut self, answer: &Value, sent: Instant) {
         let token = answer["warrant"].as_u64().unwrap();
         if token < self.token {
             return;
         }
         self.token = token;
+        self.renewed = sent;
         let mut world = self.cloud.world.lock().unwrap();
         for order in answer["orders"].as_array().unwrap() {
             let task = order["sack"].as_str().unwrap().to_owned();
@@ -174,7 +268,11 @@
                         let broken = format!("{task} runs on {other} and on {}", self.name);
                         world.broken.push(broken);
                     }
-                    let job = task.split('/').next().unwrap();
+                    let job = job_of(&task);
+                    if world.cancelled.contains_key(job) {
+                        let broken = format!("{task} is started after its cancellation");
+                        world.note_broken(broken);
+                    }
                     let needs = world.needs.get(job).into_iter().flatten();
                     let early: Vec<_> = needs.filter(|n| !world.done.contains(*n)).collect();
                     if !early.is_empty() {
@@ -182,6 +280,7 @@
                         world.broken.push(broken);
                     }
                     world.starts += 1;
+                    *world.started.entry(task.clone()).or_default() += 1;
                     world.most_at_once = world.most_at_once.max(world.on.len());
                     self.tasks.insert(task, (attempt, Instant::now(), false));
                 }
--- a/src/state/follow.rs
+++ b/src/state/follow.rs
@@ -6,18 +6,20 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const HOLD: Duration = Duration::from_millis(1000);
+/// Contact with the state service that was lost for longer begins anew with the next answer.
+const LOST: Duration = Duration::from_secs(4);
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// Loads the records once, then follows the log for as long as the process lives.
 pub async fn run(node: Arc<Node>) {
+    let hold = node.settings.follow_hold();
     loop {
         if load(&node).await.is_err() {
             tokio::time::sleep(PAUSE).await;
             continue;
         }
         node.core().loaded = true;
-        while let Ok(()) | Err(ReadError::Failed) = turn(&node, HOLD).await {
+        while let Ok(()) | Err(ReadError::Failed) = turn(&node, hold).await {
             tokio::time::sleep(node.state.follow_gap()).await;
         }
         node.core().loaded = false;
@@ -50,6 +52,9 @@
         Ok(followed) => {
             let mut core = node.core();
             let stirred = !followed.log.is_empty();
+            if core.proof.is_none_or(|p| p.elapsed() > LOST) {
+                core.contact_since = Some(sent);
+            }
             core.replica.take(followed.log, followed.ledger);
             core.proof = core.proof.max(Some(sent));
             drop(core);
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -8,7 +8,8 @@
 use crate::jobs::plans::Plans;
 use crate::jobs::{Entry, split_task};
 use crate::state::Replica;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use crate::state::replica::Job;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
@@ -148,6 +149,17 @@
 pub struct Pending<'a> {
     pub stops: &'a Stops,
     pub plans: &'a Plans,
+    /// Jobs that other controllers know to be cancelled.
+    pub cancelled: &'a BTreeSet<String>,
+    /// The records were read lately enough for `run` to go out by them.
+    pub may_start: bool,
+}
+
+impl Pending<'_> {
+    /// Whether nothing of the job may run any more, by its record or by what others told.
+    fn is_over(&self, job: &str, record: Option<&Job>) -> bool {
+        record.is_none_or(|job| job.record.cancelled) || self.cancelled.contains(job)
+    }
 }
 
 #[derive(Debug, Default, PartialEq)]
@@ -212,8 +224,7 @@
                 }
             }
             state => {
-                let over = record.is_none_or(|job| job.record.cancelled);
-                if over || !recorded {
+                if pending.is_over(job, record) || !recorded {
                     // Cancelled, or started by a record that was since withdrawn.
                     out.orders.push(Order::stop(&task.task, task.attempt, 0.0));
                     continue;
@@ -295,7 +306,7 @@
             // what is about to be placed elsewhere.
             continue;
         }
-        let cancelled = record.is_none_or(|job| job.record.cancelled);
+        let cancelled = pending.is_over(&id.0, record);
         let withdrawn = pending.stops.contains_key(&(id.clone(), attempt))
             && !live.sent.contains(&(id.clone(), attempt));
         if cancelled || withdrawn {
@@ -307,6 +318,9 @@
             }
             continue;
         }
+        if !pending.may_start {
+            continue;
+        }
         let key = (id.clone(), attempt);
         let first = before.get(&key).copied().unwrap_or(now);
         live.unseen.insert(key.clone(), first);
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -53,10 +53,9 @@
     if node.sends_on(&report.machine) {
         return elsewhere(None);
     }
-    // Without proof of state contact a cancellation may have passed us by: keeping the worker's
-    // lease alive would keep cancelled tasks running. It ends by itself if we stay silent.
-    let blind = node.settings.blind_limit();
-    if !node.has_state(blind) {
+    // A cancellation may have passed us by: keeping the worker's lease alive would keep cancelled
+    // tasks running. It ends by itself if we stay silent.
+    if !node.may_renew() {
         return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "no state service");
     }
     let taken = take(node, &mut node.core(), &report, Instant::now());
@@ -82,7 +81,7 @@
         Taken::Read { freed: true, .. } => node.next_tick(ANSWER_WITHIN).await,
     }
     let mut core = node.core();
-    match orders(&mut core, &report, Instant::now()) {
+    match orders(node, &mut core, &report, Instant::now()) {
         Some(answer) => json(StatusCode::OK, &answer),
         // It changed hands while the answer waited.
         None => {
@@ -140,17 +139,30 @@
     },
 }
 
+/// `run` goes out by records read within this. A node that the state service refuses alone would
+/// else start for `blind_limit` what another has confirmed as cancelled. One that follows the log
+/// undisturbed has read it within half of this.
+const STARTS_WITHIN: Duration = Duration::from_secs(3);
+
+fn may_start(core: &Core, now: Instant) -> bool {
+    let age = |proof| now.saturating_duration_since(proof);
+    core.proof.is_some_and(|p| age(p) <= STARTS_WITHIN)
+}
+
 /// What the machine is told, by the records as they now stand.
-fn orders(core: &mut Core, report: &Report, now: Instant) -> Option<wire::Answer> {
+fn orders(node: &Node, core: &mut Core, report: &Report, now: Instant) -> Option<wire::Answer> {
     let token = core.replica.fleet.machines.get(&report.machine)?.token;
     let owned = core.workers.owned.get(&report.machine);
     if owned.is_none_or(|(_, known)| *known != token) {
         return None; // it changed hands while the answer waited
     }
     let mut live = core.workers.live.remove(&report.machine)?;
+    let cancelled = node.heard().cancelled.clone();
     let pending = Pending {
         stops: &core.workers.stops,
         plans: &core.plans,
+        cancelled: &cancelled,
+        may_start: may_start(core, now),
     };
     let reading = read(report, &mut live, &core.replica, token, &pending, now);
     core.workers.live.insert(report.machine.clone(), live);
@@ -210,9 +222,12 @@
     live.taken_at = report
         .notice_s
         .map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
+    let cancelled = node.heard().cancelled.clone();
     let pending = Pending {
         stops: &core.workers.stops,
         plans: &core.plans,
+        cancelled: &cancelled,
+        may_start: may_start(core, now),
     };
     let reading = read(report, &mut live, &core.replica, token, &pending, now);
     for task in &report.tasks {
--- a/src/workers/service/tests.rs
+++ b/src/workers/service/tests.rs
@@ -11,6 +11,8 @@
     node: Node,
     start: Instant,
     mark: u64,
+    /// Whether the records were read right before each report.
+    contact: bool,
     trace: String,
 }
 
@@ -33,6 +35,7 @@
             node: Node::new(1, settings(), Policy::default()),
             start: Instant::now(),
             mark: 10,
+            contact: true,
             trace: String::new(),
         };
         let job = json!({"spec": {"nameId":"job-1","grist":"c","crew":"t","shape":"array",
@@ -99,6 +102,7 @@
         .unwrap();
         let now = self.start + Duration::from_secs(at_s);
         let mut core = self.node.core();
+        core.proof = self.contact.then_some(now);
         let taken = take(&self.node, &mut core, &report, now);
         let what = match taken {
             Taken::NotOurs => "not ours".to_owned(),
@@ -229,3 +233,35 @@
     yet to see our token: is answered at once
     "#);
 }
+
+/// Rule `ran_cancelled`: a node that the state service refuses alone does not know what another has
+/// confirmed since. It starts nothing by what its records still say, and stops what it is told of.
+#[test]
+fn a_blind_node_starts_nothing_and_stops_what_it_is_told() {
+    let mut scene = Scene::new();
+    scene.owner(true, 7);
+    scene.report(1, 1, 1, 7, json!([]));
+    scene.contact = false;
+    scene.placed(1, 1);
+    scene.report(2, 1, 2, 7, json!([]));
+    scene.contact = true;
+    scene.report(3, 1, 3, 7, json!([]));
+    scene.contact = false;
+    let runs = json!([{"sack": "job-1/0", "turn": 1, "stage": "running"}]);
+    scene.report(4, 1, 4, 7, runs.clone());
+    scene.trace.push_str("-- told that it is cancelled\n");
+    scene.node.heard().tell("job-1");
+    scene.report(5, 1, 5, 7, runs);
+    scene.report(6, 1, 6, 7, json!([]));
+    insta::assert_snapshot!(scene.trace, @r#"
+    -- token 7, ours
+    1 s session 1 #1 token 7: token 7 orders []; heard at 1 s
+    -- attempt 1 recorded in session 1
+    2 s session 1 #2 token 7: token 7 orders []; heard at 2 s
+    3 s session 1 #3 token 7: token 7 orders [{"verb":"run","sack":"job-1/0","turn":1}]; heard at 3 s
+    4 s session 1 #4 token 7: token 7 orders []; heard at 4 s
+    -- told that it is cancelled
+    5 s session 1 #5 token 7: token 7 orders [{"verb":"stop","sack":"job-1/0","turn":1,"windDownS":0.0}]; heard at 5 s
+    6 s session 1 #6 token 7: token 7 orders []; heard at 6 s; to record: Waiting { last: 1 }
+    "#);
+}
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -42,7 +42,12 @@
 fn trace_with(replica: &Replica, report: Report, stops: &Stops, plans: &Plans) -> String {
     let now = Instant::now();
     let mut live = Live::new(report.clone(), now);
-    let pending = Pending { stops, plans };
+    let pending = Pending {
+        stops,
+        plans,
+        cancelled: &BTreeSet::new(),
+        may_start: true,
+    };
     let reading = read(&report, &mut live, replica, TOKEN, &pending, now);
     let mut text = String::new();
     for ((job, task), entry) in &reading.facts {
