Test where two troubles meet: close looks, lost and late transactions, hand-overs

One file of tests against the stand-ins, by the orders of events that would break a rule; a fixture of users who remember what any node told them, and a state service that loses answers and holds transactions back until a test lets them go. The world of stand-in workers notes ran_twice, ran_cancelled, starts after a confirmed cancellation and its machines' lapses by itself; machines can hang, be mute or deaf.

--- a/src/standins/cloud.rs
+++ b/src/standins/cloud.rs
@@ -50,6 +50,10 @@
         self.on.keys().filter(|task| job_of(task) == job).count()
     }
 
+    pub fn machines(&self) -> HashSet<String> {
+        self.machines.keys().cloned().collect()
+    }
+
     fn note_broken(&mut self, broken: String) {
         if !self.broken.contains(&broken) {
             self.broken.push(broken);
--- a/src/standins/meetings.rs
+++ b/src/standins/meetings.rs
@@ -4,9 +4,11 @@
 use super::tests::{Site, job, until};
 use super::{Controller, PRESENT, Times, Version, free_addr, serve};
 use serde_json::{Value, json};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
@@ -222,3 +224,350 @@
     spread=true: 422 no two zones for tasks that may not all be in one
     "#);
 }
+
+/// Users who remember what any node has told them: no node may then tell anything older.
+struct Users<'a> {
+    site: &'a Site,
+    told: Mutex<HashMap<String, String>>,
+}
+
+impl<'a> Users<'a> {
+    fn of(site: &'a Site) -> Self {
+        let told = Mutex::default();
+        Self { site, told }
+    }
+
+    fn told(&self, id: &str) -> Option<String> {
+        self.told.lock().unwrap().get(id).cloned()
+    }
+
+    /// What an answer adds to what was told before it was asked for; the stage, if it names one.
+    fn hear(&self, id: &str, before: Option<String>, answer: (u16, Value)) -> Option<String> {
+        let (status, body) = answer;
+        if matches!(status, 0 | 429 | 503) {
+            return None;
+        }
+        if status == 404 {
+            assert_eq!(before, None, "{id} was accepted and is not known");
+            return None;
+        }
+        assert!(matches!(status, 200 | 201), "{id}: {status} {body}");
+        let stage = body["stage"].as_str().unwrap().to_owned();
+        if let Some(last) = before.filter(|b| b == "done" || b == "cancelled") {
+            assert_eq!(stage, last, "{id} went back");
+        }
+        if stage == "cancelled" {
+            self.site.cloud.world.lock().unwrap().note_cancelled(id);
+        }
+        let mut told = self.told.lock().unwrap();
+        let held = told.entry(id.to_owned()).or_default();
+        if held != "done" && held != "cancelled" {
+            held.clone_from(&stage);
+        }
+        Some(stage)
+    }
+
+    async fn look(&self, number: usize, id: &str) -> Option<String> {
+        let before = self.told(id);
+        let answer = self.site.get(number, &format!("/v1/jobs/{id}")).await;
+        self.hear(id, before, answer)
+    }
+
+    /// At all three nodes at the same time.
+    async fn look_closely(&self, id: &str) -> [Option<String>; 3] {
+        let (a, b, c) = tokio::join!(self.look(0, id), self.look(1, id), self.look(2, id));
+        [a, b, c]
+    }
+
+    async fn submit(&self, number: usize, job: &Value) -> Option<String> {
+        let id = job["nameId"].as_str().unwrap();
+        let before = self.told(id);
+        let answer = self.site.post(number, "/v1/jobs", job.clone()).await;
+        self.hear(id, before, answer)
+    }
+
+    async fn submit_until_taken(&self, number: usize, job: &Value) {
+        let taken = async || self.submit(number, job).await.is_some();
+        until("it is taken", taken).await;
+    }
+
+    async fn abort(&self, number: usize, id: &str) -> Option<String> {
+        let before = self.told(id);
+        let path = format!("/v1/jobs/{id}/abort");
+        let answer = self.site.post(number, &path, Value::Null).await;
+        self.hear(id, before, answer)
+    }
+
+    /// Waits until each job's end is told by each of these nodes.
+    async fn see_all_end(&self, nodes: &[usize], ids: &[String]) {
+        for number in nodes {
+            for id in ids {
+                let over = async || {
+                    let stage = self.look(*number, id).await;
+                    stage.is_some_and(|s| s == "done" || s == "cancelled")
+                };
+                until(&format!("{id} ends"), over).await;
+            }
+        }
+    }
+}
+
+async fn three(site: &Site) -> Vec<Controller> {
+    let mut nodes = Vec::new();
+    for number in 0..3 {
+        nodes.push(site.start(number).await);
+    }
+    nodes
+}
+
+/// Rules `went_back`, `forgotten` and `invented`: users ask at all nodes at the same moment, and
+/// repeat the submission, right after a job was accepted, confirmed as cancelled or told to be
+/// done; jobs of one task, four a second, a quarter of them cancelled at once, and others at the
+/// moment at which their task ends. Nothing is left of them in the end but their final states.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_node_answers_older_however_closely_it_is_asked() {
+    let site = Site::new(3, Duration::from_millis(400)).await;
+    let _nodes = three(&site).await;
+    let users = Users::of(&site);
+    let ids: Vec<String> = (100..124).map(|n| format!("job-{n}")).collect();
+    let course = async |n: usize, id: &String| {
+        tokio::time::sleep(Duration::from_millis(250) * n as u32).await;
+        let job = job(id, 1, 1.0);
+        users.submit_until_taken(n % 3, &job).await;
+        users.look_closely(id).await;
+        assert_ne!(users.submit((n + 1) % 3, &job).await, Some(String::new()));
+        if n.is_multiple_of(4) {
+            let cancelled = async || users.abort((n + 2) % 3, id).await.is_some();
+            until("it is confirmed", cancelled).await;
+        }
+        loop {
+            let seen = users.look_closely(id).await;
+            let over = |s: &Option<String>| matches!(s.as_deref(), Some("done" | "cancelled"));
+            if seen.iter().any(over) {
+                break;
+            }
+            if n % 4 == 1 && site.cloud.world.lock().unwrap().tasks_of(id) == 1 {
+                tokio::time::sleep(Duration::from_millis(330 + 10 * n as u64)).await;
+                tokio::join!(users.abort(0, id), users.look_closely(id));
+            }
+        }
+        users.look_closely(id).await;
+        users.submit(n % 3, &job).await;
+    };
+    let mut courses: Vec<_> = ids
+        .iter()
+        .enumerate()
+        .map(|(n, id)| Box::pin(course(n, id)))
+        .collect();
+    std::future::poll_fn(|context| {
+        courses.retain_mut(|course| course.as_mut().poll(context).is_pending());
+        match courses.is_empty() {
+            true => Poll::Ready(()),
+            false => Poll::Pending,
+        }
+    })
+    .await;
+    users.see_all_end(&[0, 1, 2], &ids).await;
+    let left = async || {
+        let records = site.state.stored("r/");
+        let of_jobs = |key: &&String| ["r/j/", "r/p/", "r/q/"].iter().any(|p| key.starts_with(p));
+        records.keys().filter(of_jobs).count() == 0
+    };
+    until("no record is left of them", left).await;
+    assert_eq!(site.broken(), Vec::<String>::new());
+    assert!(
+        users.look(0, "job-99").await.is_none(),
+        "nobody submitted it"
+    );
+}
+
+/// Rules `went_back`, `ran_twice`, `ran_cancelled` and `forgotten`: transactions that are carried
+/// out at once and only their answer is lost, while other nodes read what they wrote; and such as
+/// are carried out late, after newer ones.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn transactions_without_an_answer_are_neither_lost_nor_done_twice() {
+    let site = Site::new(3, Duration::from_millis(700)).await;
+    let _nodes = three(&site).await;
+    let users = Users::of(&site);
+    // Accepted and cancelled without an answer: whoever reads it tells so, and so do all then.
+    let first = job("job-1", 2, 1.0);
+    site.state.divert("r/j/job-1", Fate::AnswerLost, 1);
+    assert_eq!(users.submit(0, &first).await, None);
+    assert!(
+        users
+            .look_closely("job-1")
+            .await
+            .iter()
+            .all(Option::is_some)
+    );
+    site.state.divert("r/j/job-1", Fate::AnswerLost, 1);
+    assert_eq!(users.abort(0, "job-1").await, None);
+    let cancelled = [const { "cancelled" }; 3].map(|s| Some(s.to_owned()));
+    assert_eq!(users.look_closely("job-1").await, cancelled);
+    // Held back: not accepted until it is repeated, and the late one changes nothing.
+    let second = job("job-2", 2, 1.0);
+    site.state.divert("r/j/job-2", Fate::HeldBack, 1);
+    assert_eq!(users.submit(1, &second).await, None);
+    users.submit_until_taken(2, &second).await;
+    site.state.divert("r/j/job-2", Fate::HeldBack, 1);
+    assert_eq!(users.abort(1, "job-2").await, None, "not confirmed");
+    assert_eq!(
+        site.state.let_go(),
+        1,
+        "the cancellation alone, nothing came between"
+    );
+    assert_eq!(users.look_closely("job-2").await, cancelled);
+    // Starts, exits and ends of jobs: held back or carried out, each job ends and nothing twice.
+    for (key, fate) in [
+        ("r/p/", Fate::HeldBack),
+        ("r/p/", Fate::AnswerLost),
+        ("e/job", Fate::HeldBack),
+        ("e/job", Fate::AnswerLost),
+        ("r/shares", Fate::HeldBack),
+    ] {
+        let ids: Vec<String> = (0..4).map(|n| format!("job-{}", spare_id() + n)).collect();
+        site.state.divert(key, fate, 3);
+        for (n, id) in ids.iter().enumerate() {
+            users.submit_until_taken(n % 3, &job(id, 2, 1.0)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(2500)).await;
+        site.state.let_go();
+        users.see_all_end(&[0, 1, 2], &ids).await;
+    }
+    site.state.let_go();
+    for id in ["job-1", "job-2"] {
+        assert_eq!(users.look_closely(id).await, cancelled);
+    }
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
+
+fn spare_id() -> usize {
+    static NEXT: AtomicUsize = AtomicUsize::new(1000);
+    NEXT.fetch_add(10, Ordering::Relaxed)
+}
+
+/// Rules `ran_cancelled`, `ran_twice`, `went_back` and `forgotten`: jobs are cancelled, asked about
+/// and submitted again in the seconds in which controllers' work changes hands: the leader ends,
+/// another is back within a moment, eight times in a row, twice inside an outage.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cancelled_while_the_work_changes_hands() {
+    let site = Site::new(3, Duration::from_millis(1500)).await;
+    let restart = |n| Controller::start(n, &site.seats, site.state_addr, site.cloud_addr);
+    let mut nodes: Vec<Option<Controller>> = three(&site).await.into_iter().map(Some).collect();
+    let users = Users::of(&site);
+    let mut ids = Vec::new();
+    for round in 0..8 {
+        let leader = site.state.stored("r/leader");
+        let leader = leader
+            .values()
+            .next()
+            .and_then(|l| l["member"].as_str().map(str::to_owned));
+        let leader = leader.map_or(0, |l| l.trim_start_matches("millstone-").parse().unwrap());
+        let other = (leader + 1 + round % 2) % 3;
+        let batch: Vec<String> = (0..4)
+            .map(|n| format!("job-{}", 2000 + round * 10 + n))
+            .collect();
+        for id in &batch {
+            users.submit_until_taken(other, &job(id, 2, 0.5)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        nodes[leader] = None;
+        tokio::join!(users.abort(other, &batch[0]), users.look(other, &batch[1]));
+        nodes[leader] = Some(restart(leader));
+        if round % 4 == 3 {
+            site.state.set_out(true);
+            nodes[other] = None;
+            nodes[other] = Some(restart(other));
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            site.state.set_out(false);
+        }
+        let again = job(&batch[0], 2, 0.5);
+        tokio::join!(users.abort(other, &batch[1]), users.submit(leader, &again));
+        ids.extend(batch);
+    }
+    users.see_all_end(&[0, 1, 2], &ids).await;
+    assert_eq!(site.broken(), Vec::<String>::new());
+    let world = site.cloud.world.lock().unwrap();
+    assert!(world.most_at_once <= 12, "the team's limit is 6 CPUs");
+}
+
+/// Rules `quota`, `ran_cancelled` and `ran_twice`: a team is at its limit, its jobs are cancelled
+/// while their machines hang, reach nobody or hear nothing, and the leader ends. Their tasks hold
+/// the limit until they are provably gone; then, and only then, the next ones start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_task_holds_its_limit_until_provably_gone() {
+    for trouble in ["hung", "mute", "deaf"] {
+        let site = Site::with(2, Duration::from_secs(600), SHORT).await;
+        let version = Version {
+            times: SHORT,
+            ..PRESENT
+        };
+        let mut nodes = Vec::new();
+        for number in 0..2 {
+            nodes.push(site.start_as(version, number));
+            let ready = async || site.get(number, "/healthz").await.0 == 200;
+            until("the controller is healthy", ready).await;
+        }
+        site.submit(0, &job("job-1", 6, 1.0)).await;
+        let running = |id| site.cloud.world.lock().unwrap().tasks_of(id);
+        until("all that the limit allows runs", async || {
+            running("job-1") == 6
+        })
+        .await;
+        {
+            let mut world = site.cloud.world.lock().unwrap();
+            let machines: HashSet<String> = world.machines();
+            match trouble {
+                "hung" => world.hung = machines,
+                "mute" => world.mute = machines,
+                _ => world.deaf = machines,
+            }
+        }
+        cancel(&site, 1, "job-1").await;
+        site.submit(1, &job("job-2", 6, 1.0)).await;
+        nodes.remove(0);
+        let all_run = async || running("job-2") == 6;
+        if trouble == "hung" {
+            // They are back within their lease, and go on until they are told.
+            tokio::time::sleep(Duration::from_millis(1500)).await;
+            site.cloud.world.lock().unwrap().hung.clear();
+        }
+        until("the next ones start", all_run).await;
+        let world = site.cloud.world.lock().unwrap();
+        assert_eq!(world.broken, Vec::<String>::new(), "{trouble}");
+        assert!(world.most_at_once <= 6, "{trouble}: the limit is 6 CPUs");
+    }
+}
+
+/// Rules `ran_twice` and `forgotten`: all controllers are away for longer than the workers' lease,
+/// and a leader ends while the records of machines that are up within a moment get no answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_away_for_longer_than_a_lease_and_machines_up_at_once() {
+    let site = Site::with(2, Duration::from_millis(2500), SHORT).await;
+    let version = Version {
+        times: SHORT,
+        ..PRESENT
+    };
+    let users = Users::of(&site);
+    for (key, fate) in [("r/m/", Fate::HeldBack), ("r/m/", Fate::AnswerLost)] {
+        let id = format!("job-{}", spare_id());
+        let first = site.start_as(version, 0);
+        let ready = async || site.get(0, "/healthz").await.0 == 200;
+        until("the controller is healthy", ready).await;
+        site.state.divert(key, fate, 2);
+        users.submit_until_taken(0, &job(&id, 4, 1.0)).await;
+        tokio::time::sleep(Duration::from_millis(2200)).await;
+        drop(first);
+        let second = site.start_as(version, 1);
+        site.state.let_go();
+        let runs = async || site.cloud.world.lock().unwrap().tasks_of(&id) > 0;
+        until("it runs", runs).await;
+        drop(second);
+        tokio::time::sleep(SHORT.lease() + Duration::from_millis(500)).await;
+        let _third = site.start_as(version, 0);
+        users.see_all_end(&[0], &[id]).await;
+    }
+    let world = site.cloud.world.lock().unwrap();
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert!(world.lapses > 0, "leases ran out meanwhile");
+}
