--- a/src/standins/cloud.rs
+++ b/src/standins/cloud.rs
@@ -56,6 +56,11 @@
         there.cloned().collect()
     }
 
+    pub fn machines_of(&self, job: &str) -> HashSet<String> {
+        let on = self.on.iter().filter(|(task, _)| job_of(task) == job);
+        on.map(|(_, machine)| machine.clone()).collect()
+    }
+
     fn note_broken(&mut self, broken: String) {
         if !self.broken.contains(&broken) {
             self.broken.push(broken);
