Keep machines and leads through long outages: who is there, and who was last

Change: the incarnation of a controller is known after its presence has ended; a report that is refused for lack of contact shows that its machine is there; without contact no machine is released and nobody stands back. The log line comes after 4 s without contact only.

Ruled out: a cut between controllers (they answered one another throughout).

Each change has a small test, but for the one that nobody stands back.

--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -4,6 +4,7 @@
 pub mod vouch;
 
 use crate::node::Node;
+use crate::state::follow::LOST;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -108,8 +109,9 @@
                 let since = Instant::now();
                 let vouch = tokio::time::timeout(ANSWER_WITHIN, vouch::ask(addr)).await;
                 if let Ok(Ok(vouch)) = vouch {
-                    let known = node.core().replica.presence.get(&name).cloned();
-                    let known = known.map(|p| p.record.incarnation);
+                    // One that was refused alone before is in no record any more, and vouches all
+                    // the same: it is the process that it was.
+                    let known = node.core().replica.incarnations.get(&name).copied();
                     node.heard().take(&name, known, vouch, since);
                 }
                 has_state
@@ -128,7 +130,8 @@
             let heard = node.heard();
             (heard.vouched(peers).is_some(), heard.cancelled.len())
         };
-        if vouched.replace(all_vouch) != Some(all_vouch) {
+        let lost = proof.is_none_or(|p| p.elapsed() > LOST);
+        if lost && vouched.replace(all_vouch) != Some(all_vouch) {
             tracing::info!(all_vouch, cancelled, "no state service: asked the others");
         }
     }
--- a/src/renting/give_back.rs
+++ b/src/renting/give_back.rs
@@ -7,6 +7,7 @@
 use crate::membership;
 use crate::node::{Core, Node, age_s, wall_ms};
 use crate::state::budget::Need;
+use crate::state::follow::LOST;
 use crate::state::replica::Kept;
 use crate::state::{Guard, Op, rental_key};
 use std::collections::BTreeMap;
@@ -243,7 +244,9 @@
 fn to_close(node: &Node) -> Vec<String> {
     let now = Instant::now();
     let now_ms = wall_ms();
-    if node.is_cut_off() {
+    // Without contact nothing can be recorded as closing, and silence means nothing: workers were
+    // sent on. One that stood back for it in an outage gave everything away right after.
+    if node.is_cut_off() || !node.has_state(LOST) {
         return Vec::new();
     }
     let mut core = node.core();
--- a/src/standins/meetings.rs
+++ b/src/standins/meetings.rs
@@ -4,7 +4,7 @@
 use super::tests::{Site, job, until};
 use super::{Controller, PRESENT, Times, Version, free_addr, serve};
 use serde_json::{Value, json};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
--- a/src/state/follow.rs
+++ b/src/state/follow.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 /// Contact with the state service that was lost for longer begins anew with the next answer.
-const LOST: Duration = Duration::from_secs(4);
+pub const LOST: Duration = Duration::from_secs(4);
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// Loads the records once, then follows the log for as long as the process lives.
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -99,6 +99,8 @@
     pub forms: Option<Kept<Forms>>,
     pub fleet: Fleet,
     pub presence: BTreeMap<String, Kept<PresenceRecord>>,
+    /// Of each controller that was ever there, the incarnation last known.
+    pub incarnations: BTreeMap<String, u64>,
     pub leader: Option<Kept<LeaderRecord>>,
     pub shares: Option<Kept<Shares>>,
     /// What each controller published last.
@@ -134,6 +136,7 @@
     pub fn reset(&mut self, pairs: Vec<Pair>, revision: u64) {
         let ended = std::mem::take(&mut self.ended);
         let ended_order = std::mem::take(&mut self.ended_order);
+        let incarnations = std::mem::take(&mut self.incarnations);
         let mut fleet = std::mem::take(&mut self.fleet);
         fleet.reset();
         let jobs = std::mem::take(&mut self.jobs);
@@ -142,6 +145,7 @@
             pipelines: self.pipelines.anew(),
             ended,
             ended_order,
+            incarnations,
             fleet,
             changed_jobs: jobs.into_keys().collect(),
             changed_on: on.into_keys().collect(),
@@ -234,7 +238,13 @@
                     self.fleet.put(name, record, mark);
                 }
             }
-            "n" => keep(&mut self.presence, key, name, data, mark),
+            "n" => {
+                keep(&mut self.presence, key, name, data, mark);
+                if let Some(kept) = self.presence.get(name) {
+                    let incarnation = kept.record.incarnation;
+                    self.incarnations.insert(name.to_owned(), incarnation);
+                }
+            }
             "o" => keep(&mut self.outlooks, key, name, data, mark),
             "shares" if self.shares.as_ref().is_none_or(|s| s.mark < mark) => {
                 self.shares = read(key, data).map(|record| Kept { record, mark });
--- a/src/state/replica/tests.rs
+++ b/src/state/replica/tests.rs
@@ -78,3 +78,18 @@
     and of the merging: vm-1 in r-1, vm-2 in r-1
     "#);
 }
+
+/// A controller that the state service refuses alone is in no record after some seconds. Nobody
+/// vouched then for what it had confirmed, and in the outage that followed all tasks ended.
+#[test]
+fn who_was_there_last_is_known_when_it_is_gone() {
+    let mut replica = Replica::new(wide(8));
+    let there = |incarnation| json!({"incarnation": incarnation, "lease": 1});
+    replica.take(vec![change("r/n/n-1", there(7), 4)], 4);
+    replica.take(vec![change("r/n/n-1", serde_json::Value::Null, 5)], 5);
+    assert!(replica.presence.is_empty());
+    assert_eq!(replica.incarnations.get("n-1"), Some(&7));
+    replica.take(vec![change("r/n/n-1", there(8), 6)], 6);
+    replica.reset(Vec::new(), 7);
+    assert_eq!(replica.incarnations.get("n-1"), Some(&8));
+}
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -56,6 +56,7 @@
     // A cancellation may have passed us by: keeping the worker's lease alive would keep cancelled
     // tasks running. It ends by itself if we stay silent.
     if !node.may_renew() {
+        note_there(&mut node.core(), &report, Instant::now());
         return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "no state service");
     }
     let taken = take(node, &mut node.core(), &report, Instant::now());
@@ -95,6 +96,20 @@
     }
 }
 
+/// A machine whose report this node may not answer is there all the same. Taken for silent, it and
+/// all others were given back right after an outage, and controllers that had refused most reports
+/// stood back, as if they could not hear them.
+fn note_there(core: &mut Core, report: &Report, now: Instant) {
+    let owned = core.workers.owned.get(&report.machine);
+    let token = owned.map(|(_, token)| *token);
+    if let Some(live) = core.workers.live.get_mut(&report.machine)
+        && token == Some(report.token)
+        && live.is_newer(report)
+    {
+        live.heard = now;
+    }
+}
+
 /// Longest that the answer to an idle machine waits for work, and the part of the time between two
 /// reports that it may take: it must not come near the 4 s after which the worker drops it.
 const IDLE_WAIT: Duration = Duration::from_millis(2000);
--- a/src/workers/service/tests.rs
+++ b/src/workers/service/tests.rs
@@ -267,3 +267,30 @@
     6 s session 1 #6 token 7: token 7 orders []; heard at 6 s; to record: Waiting { last: 1 }
     "#);
 }
+
+/// Machines that were given back right after an outage, and controllers that stood back, found on a
+/// recorded day: reports that a node may not answer were no sign of life. A late copy is none.
+#[test]
+fn a_machine_that_may_not_be_answered_is_there() {
+    let mut scene = Scene::new();
+    scene.owner(true, 7);
+    scene.report(1, 1, 4, 7, json!([]));
+    let mut trace = String::new();
+    for (at_s, seq, token) in [(30, 4, 7), (31, 5, 6), (32, 6, 7)] {
+        let report = json!({"millstone": "vm-1", "endpoint": "", "stone": "m", "yard": "a",
+            "shift": 1, "tally": seq, "warrant": token, "sacks": []});
+        let report: Report = serde_json::from_value(report).unwrap();
+        let mut core = scene.node.core();
+        note_there(&mut core, &report, scene.start + Duration::from_secs(at_s));
+        let heard = core.workers.live["vm-1"].heard - scene.start;
+        trace.push_str(&format!(
+            "{at_s} s #{seq} token {token}: heard at {} s\n",
+            heard.as_secs()
+        ));
+    }
+    insta::assert_snapshot!(trace, @r"
+    30 s #4 token 7: heard at 1 s
+    31 s #5 token 6: heard at 1 s
+    32 s #6 token 7: heard at 32 s
+    ");
+}
