Count processor time by duty, and rename counts to metrics

Each period now logs the processor time of the thread by duty beside the counts, through rustix (already in the lock file).

--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -3,6 +3,7 @@
 use super::{Answer, Server, come_back, error, json};
 use crate::jobs::{Final, JobRecord, JobSpec, SpecError, Stage, Stored, Submission, is_job_id};
 use crate::membership;
+use crate::metrics::Duty;
 use crate::node::{Core, Node, wall_ms};
 use crate::pipelines::service::{CANCELLED, look_up_needs};
 use crate::placement::views::{kinds_for, room_of};
@@ -116,7 +117,7 @@
     let node = &server.node;
     let ended = {
         let mut core = node.core();
-        core.counts.polls += 1;
+        core.metrics.polls += 1;
         core.replica.ended(id)
     };
     if let Some(last) = ended {
@@ -143,14 +144,18 @@
 
 pub async fn submit(server: &Server, body: &[u8]) -> Answer {
     let node = &server.node;
-    let Submission { spec, awaits } = match Submission::read(body) {
+    let read = {
+        let _charge = node.processor_time.charge(Duty::Users);
+        Submission::read(body)
+    };
+    let Submission { spec, awaits } = match read {
         Ok(read) => read,
         Err(problem) => return refuse(server, body, &problem).await,
     };
     let id = spec.id.clone();
     let ended = {
         let mut core = node.core();
-        core.counts.submitted += 1;
+        core.metrics.submitted += 1;
         core.replica.ended(&id)
     };
     if let Some(last) = ended {
@@ -359,6 +364,7 @@
 }
 
 fn judge(node: &Node, spec: &JobSpec, awaits: &[String]) -> Verdict {
+    let _charge = node.processor_time.charge(Duty::Users);
     if awaits.contains(&spec.id) {
         return Verdict::Never("`awaits` names the job itself");
     }
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -6,6 +6,7 @@
 use super::{Entry, Final, Page, PageId, Stored};
 use crate::fleet::Use;
 use crate::membership::shares::Member;
+use crate::metrics::Duty;
 use crate::node::{Core, Node};
 use crate::pipelines;
 use crate::state::budget::Need;
@@ -69,10 +70,10 @@
 }
 
 pub async fn write(node: &Arc<Node>, leads: bool) {
-    let ended = node.core().counts.ended;
+    let ended = node.core().metrics.ended;
     let fine = end_jobs(node).await
         && {
-            let ended_here = node.core().counts.ended != ended;
+            let ended_here = node.core().metrics.ended != ended;
             pipelines::service::turn(node, ended_here).await
         }
         && write_pages(node).await;
@@ -102,6 +103,7 @@
     // end alone is recorded, and the moving waits for a quieter time.
     let short = is_short(node) && node.core().replica.has_begun();
     let mut over: Vec<Ended> = {
+        let _charge = node.processor_time.charge(Duty::Records);
         let core = node.core();
         let jobs = core.replica.jobs.iter();
         jobs.filter_map(|(id, job)| {
@@ -147,7 +149,7 @@
             return false;
         };
         let mut core = node.core();
-        core.counts.ended += batch.len() as u64;
+        core.metrics.ended += batch.len() as u64;
         core.apply(ops, ledger);
         for ended in batch {
             core.replica.remember_ended(&ended.id, ended.last);
@@ -191,7 +193,7 @@
         let room = node.state.writes_left(Need::Own).min(ops);
         if room == 0 {
             let mut core = node.core();
-            core.counts.unwritten += dirty.len() as u64;
+            core.metrics.unwritten += dirty.len() as u64;
             core.plans.note_unwritten(dirty.len());
             return fine;
         }
@@ -228,10 +230,10 @@
             Ok(ledger) => {
                 for d in batch {
                     let others = !core.owns_job(&node.me, &d.job);
-                    core.counts.others_pages += u64::from(others);
+                    core.metrics.others_pages += u64::from(others);
                     match d.starts {
-                        true => core.counts.start_pages += 1,
-                        false => core.counts.exit_pages += 1,
+                        true => core.metrics.start_pages += 1,
+                        false => core.metrics.exit_pages += 1,
                     }
                     if ledger > core.replica.revision {
                         core.replica.put_page(&d.job, d.number, d.page, ledger);
@@ -244,7 +246,7 @@
                 }
             }
             Err(TxnError::Conflict(failed)) => {
-                core.counts.lost_races += 1;
+                core.metrics.lost_races += 1;
                 tracing::debug!(?failed, "a record lost a race");
                 withdraw(&mut core, &batch, Some(&failed));
                 fine = false;
@@ -274,6 +276,7 @@
 }
 
 fn dirty_pages(core: &mut Core, node: &Node, now: Instant) -> Vec<Dirty> {
+    let _charge = node.processor_time.charge(Duty::Records);
     // The log may have told of new owners since the turn began: what was seen under an ownership
     // that is over must be forgotten before it is written under the next one's mark.
     core.note_ownership(&node.me, now);
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,12 +2,12 @@
 
 mod api;
 mod cloud;
-mod counts;
 mod fleet;
 mod http;
 mod jobs;
 mod membership;
 mod mesh;
+mod metrics;
 mod node;
 mod pipelines;
 mod placement;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -7,6 +7,7 @@
 
 use crate::fleet::{Rental, in_parts};
 use crate::jobs::JobRecord;
+use crate::metrics::Duty;
 use crate::node::{Core, Node, age_s, wall_ms};
 use crate::placement::views::{due_after, kinds_for, room_of, urgency_of};
 use crate::placement::{By, Need};
@@ -418,6 +419,7 @@
 /// sends fails on its guards, and the worker drops the old owner's answers.
 pub async fn share_out(node: &Arc<Node>, mark: u64) {
     let change = {
+        let _charge = node.processor_time.charge(Duty::Renting);
         let mut core = node.core();
         let present = core.replica.present();
         let fleet = &core.replica.fleet.machines;
--- a/src/counts.rs
+++ b/src/metrics/mod.rs
@@ -1,13 +1,16 @@
-//! What a period cost this node: counted as it goes, and logged each period.
+//! Counters of what a period cost this controller, logged at the end of each period.
+
+pub mod processor_time;
 
 use crate::jobs::Entry;
 use crate::node::{Core, Node};
 use crate::state::client::Used;
+pub use processor_time::{Duty, ProcessorTime};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 #[derive(Debug)]
-pub struct Counts {
+pub struct Metrics {
     since: Instant,
     pub reports: u64,
     pub polls: u64,
@@ -30,10 +33,11 @@
     /// Time spent placing, of which the longest turn.
     pub placing: Duration,
     pub longest: Duration,
-    before: [u64; 5],
+    /// Totals of the state client and of processor time when the period began.
+    before: Totals,
 }
 
-impl Counts {
+impl Metrics {
     pub fn new(now: Instant) -> Self {
         Self {
             since: now,
@@ -52,29 +56,54 @@
             views: 0,
             placing: Duration::ZERO,
             longest: Duration::ZERO,
-            before: [0; 5],
+            before: Totals::default(),
         }
     }
 }
 
-fn read(used: &Used) -> [u64; 5] {
-    [
-        &used.requests,
-        &used.puts,
-        &used.guards,
-        &used.refused,
-        &used.followed_bytes,
-    ]
-    .map(|c: &AtomicU64| c.load(Ordering::Relaxed))
+/// Counters that only ever grow; a period's part is the difference.
+#[derive(Debug, Clone, Copy, Default)]
+struct Totals {
+    requests: u64,
+    puts: u64,
+    guards: u64,
+    refused: u64,
+    followed_bytes: u64,
+    duties: [Duration; Duty::ALL.len()],
+    process: Duration,
+}
+
+impl Totals {
+    fn read(node: &Node) -> Self {
+        let used: &Used = &node.state.used;
+        let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Self {
+            requests: load(&used.requests),
+            puts: load(&used.puts),
+            guards: load(&used.guards),
+            refused: load(&used.refused),
+            followed_bytes: load(&used.followed_bytes),
+            duties: node.processor_time.spent(),
+            process: processor_time::process_time(),
+        }
+    }
 }
 
 /// Logs what the period that ends now took, and begins the next.
 pub fn log_period(node: &Node, now: Instant) {
-    let all = read(&node.state.used);
+    let totals = Totals::read(node);
     let mut core = node.core();
-    let before = core.counts.before;
-    let [requests, puts, guards, refused, bytes] = std::array::from_fn(|i| all[i] - before[i]);
-    let c = &core.counts;
+    log_counters(&core, &totals, now);
+    log_processor_time(&core.metrics.before, &totals);
+    log_oldest(node, &core);
+    core.metrics = Metrics {
+        before: totals,
+        ..Metrics::new(now)
+    };
+}
+
+fn log_counters(core: &Core, totals: &Totals, now: Instant) {
+    let c = &core.metrics;
     tracing::info!(
         seconds = now.saturating_duration_since(c.since).as_secs_f64(),
         c.reports,
@@ -92,21 +121,39 @@
         c.views,
         placing_ms = c.placing.as_millis() as u64,
         longest_ms = c.longest.as_millis() as u64,
-        requests,
-        puts,
-        guards,
-        refused,
-        bytes,
+        requests = totals.requests - c.before.requests,
+        puts = totals.puts - c.before.puts,
+        guards = totals.guards - c.before.guards,
+        refused = totals.refused - c.before.refused,
+        bytes = totals.followed_bytes - c.before.followed_bytes,
         owned = core.workers.owned.len(),
         machines = core.replica.fleet.machines.len(),
         jobs = core.replica.jobs.len(),
         "counts"
     );
-    log_oldest(node, &core);
-    core.counts = Counts {
-        before: all,
-        ..Counts::new(now)
+}
+
+/// Microseconds of processor time by duty. What the process spent beyond these is the HTTP server and
+/// client, the runtime and the kernel's part of them.
+fn log_processor_time(before: &Totals, totals: &Totals) {
+    let spent = |duty: Duty| {
+        let (now, then) = (totals.duties[duty as usize], before.duties[duty as usize]);
+        now.saturating_sub(then).as_micros() as u64
     };
+    tracing::info!(
+        reports = spent(Duty::Reports),
+        users = spent(Duty::Users),
+        decode = spent(Duty::Decode),
+        replicate = spent(Duty::Replicate),
+        views = spent(Duty::Views),
+        forecast = spent(Duty::Forecast),
+        placement = spent(Duty::Placement),
+        planning = spent(Duty::Planning),
+        records = spent(Duty::Records),
+        renting = spent(Duty::Renting),
+        process = totals.process.saturating_sub(before.process).as_micros() as u64,
+        "processor time, us"
+    );
 }
 
 /// The jobs that have been unfinished for longest, as far as this node places them: what holds them up
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,13 +1,13 @@
 //! One controller node: what its slices share, behind one short lock, and how they are started.
 
 use crate::cloud::{CloudClient, Kind};
-use crate::counts::Counts;
 use crate::jobs::learned::{Failures, Learned};
 use crate::jobs::plans::Plans;
 use crate::jobs::{Entry, JobSpec, Layout};
 use crate::membership::Standing;
 use crate::membership::shares::Member;
 use crate::mesh::vouch::Heard;
+use crate::metrics::{Metrics, ProcessorTime};
 use crate::placement::cache::Cache;
 use crate::policy::Policy;
 use crate::renting::service::RentState;
@@ -36,7 +36,7 @@
     pub kinds: Vec<Kind>,
     pub rent: RentState,
     pub views: Cache,
-    pub counts: Counts,
+    pub metrics: Metrics,
 }
 
 pub struct Node {
@@ -55,6 +55,7 @@
     /// Placing ticks, counted as they begin and as they end.
     ticks: watch::Sender<(u64, u64)>,
     heard: Mutex<Heard>,
+    pub processor_time: ProcessorTime,
 }
 
 /// For so long no other controller has answered, each asked once a second.
@@ -81,6 +82,7 @@
             stirred: Notify::new(),
             ticks: watch::Sender::new((0, 0)),
             heard: Mutex::default(),
+            processor_time: ProcessorTime::default(),
             settings,
             policy,
         }
@@ -192,7 +194,7 @@
             kinds: Vec::new(),
             rent: RentState::new(now),
             views: Cache::new(now),
-            counts: Counts::new(now),
+            metrics: Metrics::new(now),
         }
     }
 
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -1,9 +1,9 @@
 //! The placing loop: plans starts, and has them recorded before anything acts on them.
 
 use super::{cache, now, preempt, views};
-use crate::counts;
 use crate::jobs::{Entry, JobSpec, Urgency, writer};
 use crate::membership;
+use crate::metrics::{self, Duty};
 use crate::node::{Core, Node, wall_ms};
 use crate::renting;
 use std::collections::{HashMap, HashSet};
@@ -33,7 +33,7 @@
         }
         if logged.elapsed().as_secs_f64() >= node.policy.period_s {
             logged = Instant::now();
-            counts::log_period(&node, logged);
+            metrics::log_period(&node, logged);
         }
         tokio::time::sleep(pause).await;
     }
@@ -50,35 +50,42 @@
     let now_ms = wall_ms();
     {
         let mut core = node.core();
+        let charge = node.processor_time.charge(Duty::Views);
         core.note_ownership(&node.me, now);
         if core.kinds.is_empty() {
             return Duration::ZERO;
         }
         clear_gone(node, &mut core);
         cache::refresh_pulls(node, &mut core, now);
-        core.counts.views += cache::refresh(&mut core, &node.me, now, now_ms);
+        core.metrics.views += cache::refresh(&mut core, &node.me, now, now_ms);
         let mut views = views::build(node, &mut core, now, now_ms);
+        drop(charge);
         // The first event waits for the first job, and is then at once.
         if !core.replica.jobs.is_empty() || !core.replica.fleet.machines.is_empty() {
+            let _charge = node.processor_time.charge(Duty::Forecast);
             renting::decide::look_ahead(node, &mut core, &views, now, now_ms);
         }
         if !views.jobs.is_empty() {
             let startup = node.policy.startup_count;
+            let charge = node.processor_time.charge(Duty::Placement);
             let placing = now::place(&views.jobs, &mut views.machines, startup, MOST_IN_TICK);
-            core.counts.steps += placing.steps;
-            core.counts.starts += placing.starts.len() as u64;
+            drop(charge);
+            let _charge = node.processor_time.charge(Duty::Planning);
+            core.metrics.steps += placing.steps;
+            core.metrics.starts += placing.starts.len() as u64;
             plan(&mut core, &mut views, &placing.starts);
             make_room(node, &mut core, &views, &placing.waits, now);
         }
+        let _charge = node.processor_time.charge(Duty::Planning);
         stop_broken_gangs(&mut core);
         save_from_notices(node, &mut core, now);
     }
     let worked = now.elapsed();
     {
         let mut core = node.core();
-        core.counts.ticks += 1;
-        core.counts.placing += worked;
-        core.counts.longest = core.counts.longest.max(worked);
+        core.metrics.ticks += 1;
+        core.metrics.placing += worked;
+        core.metrics.longest = core.metrics.longest.max(worked);
     }
     writer::write(node, mark.is_some()).await;
     worked
--- a/src/renting/decide.rs
+++ b/src/renting/decide.rs
@@ -64,7 +64,7 @@
         return;
     }
     let mapping = forecast(&views.jobs, &views.machines, startup_count);
-    core.counts.steps += mapping.steps;
+    core.metrics.steps += mapping.steps;
     let mut record = OutlookRecord {
         at_ms: now_ms,
         puts_per_s: 0.0,
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -6,6 +6,7 @@
 use super::give_back::{close_machines, mark_returning, merge_rentals, take_list};
 use super::hire::{fulfil, resend_hires};
 use crate::membership;
+use crate::metrics::Duty;
 use crate::node::{Node, wall_ms};
 use crate::state::{Guard, LEADER_KEY, Op, outlook_key};
 use std::collections::{BTreeMap, HashMap};
@@ -105,6 +106,7 @@
 }
 
 fn lead_event(node: &Node) {
+    let _charge = node.processor_time.charge(Duty::Renting);
     let (now, now_ms) = (Instant::now(), wall_ms());
     let mut core = node.core();
     if core.rent.leader_event.is_none_or(|at| at <= now) {
--- a/src/state/client.rs
+++ b/src/state/client.rs
@@ -95,6 +95,12 @@
     pub log: Vec<Change>,
 }
 
+impl Followed {
+    pub fn decode(body: &[u8]) -> Result<Self, ReadError> {
+        serde_json::from_slice(body).map_err(|_| ReadError::Failed)
+    }
+}
+
 #[derive(Debug, Deserialize)]
 pub struct Pair {
     pub k: String,
@@ -353,7 +359,8 @@
         }
     }
 
-    pub async fn follow(&self, from: u64, hold: Duration) -> Result<Followed, ReadError> {
+    /// The changes after a revision, as they came: `Followed::decode` reads them.
+    pub async fn follow(&self, from: u64, hold: Duration) -> Result<Bytes, ReadError> {
         let path = format!(
             "/follow?prefix={}&from={from}&holdMs={}",
             super::LIVE,
@@ -365,7 +372,7 @@
         match answer {
             Ok((StatusCode::OK, body)) => {
                 count(&self.used.followed_bytes, body.len());
-                serde_json::from_slice(&body).map_err(|_| ReadError::Failed)
+                Ok(body)
             }
             Ok((StatusCode::GONE, _)) => Err(ReadError::TooOld),
             _ => Err(ReadError::Failed),
--- a/src/state/follow.rs
+++ b/src/state/follow.rs
@@ -1,7 +1,8 @@
 //! Keeps the replica up to date, and proves contact with the state service.
 
-use super::client::{Pair, ReadError};
+use super::client::{Followed, Pair, ReadError};
 use super::{LIVE, StateClient};
+use crate::metrics::Duty;
 use crate::node::Node;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -48,8 +49,9 @@
 async fn turn(node: &Node, hold: Duration) -> Result<(), ReadError> {
     let from = node.core().replica.revision;
     let sent = Instant::now();
-    match node.state.follow(from, hold).await {
+    match follow(node, from, hold).await {
         Ok(followed) => {
+            let _charge = node.processor_time.charge(Duty::Replicate);
             let mut core = node.core();
             let stirred = !followed.log.is_empty();
             if core.proof.is_none_or(|p| p.elapsed() > LOST) {
@@ -72,6 +74,12 @@
     }
 }
 
+async fn follow(node: &Node, from: u64, hold: Duration) -> Result<Followed, ReadError> {
+    let body = node.state.follow(from, hold).await?;
+    let _charge = node.processor_time.charge(Duty::Decode);
+    Followed::decode(&body)
+}
+
 async fn load(node: &Node) -> Result<(), ReadError> {
     let (pairs, revision) = read_all(&node.state).await?;
     node.core().replica.reset(pairs, revision);
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -6,6 +6,7 @@
 use crate::jobs::Entry;
 use crate::membership;
 use crate::membership::shares::Member;
+use crate::metrics::Duty;
 use crate::node::{Core, Node, wall_ms};
 use crate::workers::wire;
 use hyper::StatusCode;
@@ -22,14 +23,19 @@
     json(StatusCode::MISDIRECTED_REQUEST, &body)
 }
 
+fn decode(node: &Node, body: &[u8]) -> Result<Report, serde_json::Error> {
+    let _charge = node.processor_time.charge(Duty::Reports);
+    serde_json::from_slice(body)
+}
+
 pub async fn hello(node: &Arc<Node>, body: &[u8]) -> Answer {
-    let report: Report = match serde_json::from_slice(body) {
+    let report: Report = match decode(node, body) {
         Ok(report) => report,
         Err(problem) => return error(StatusCode::BAD_REQUEST, &problem.to_string()),
     };
     let owner = {
         let mut core = node.core();
-        core.counts.reports += 1;
+        core.metrics.reports += 1;
         let machine = core.replica.fleet.machines.get(&report.machine);
         let owner = machine.map(|m| m.owner.clone());
         let there = |m: &Member| {
@@ -166,6 +172,7 @@
 
 /// What the machine is told, by the records as they now stand.
 fn orders(node: &Node, core: &mut Core, report: &Report, now: Instant) -> Option<wire::Answer> {
+    let _charge = node.processor_time.charge(Duty::Reports);
     let token = core.replica.fleet.machines.get(&report.machine)?.token;
     let owned = core.workers.owned.get(&report.machine);
     if owned.is_none_or(|(_, known)| *known != token) {
@@ -202,6 +209,7 @@
 
 /// Reads an owned machine's report into what is known and planned, and answers it.
 fn take(node: &Node, core: &mut Core, report: &Report, now: Instant) -> Taken {
+    let _charge = node.processor_time.charge(Duty::Reports);
     let name = report.machine.clone();
     core.note_owner(&node.me, &name, now);
     let machine = core.replica.fleet.machines.get(&name);
