Keep traces of placement's decisions at the deployments' sizes

Recorded with the placement as it was, so that making it faster cannot change what it decides. cost_of_a_mapping measures it in a release build.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -440,5 +440,7 @@
     pub machine: usize,
 }
 
+#[cfg(test)]
+mod scale_tests;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/placement/scale_tests.rs
@@ -0,0 +1,285 @@
+//! Decisions at the size of the deployments, kept as traces: what speeds placement up must not change
+//! what it decides.
+
+use super::forecast::forecast;
+use super::now::place;
+use super::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::fmt::Write;
+
+/// A fleet and its waiting work, drawn from a seed.
+struct Scene {
+    machines: u32,
+    zones: u32,
+    gang_sizes: &'static [u32],
+    gangs: u32,
+    gpu_arrays: u32,
+    cpu_arrays: u32,
+    largest_array: u32,
+    /// Part of the machines on which something runs.
+    busy: f64,
+}
+
+/// One controller's part of xanhgio-fleet-grown, with the backlog of the start.
+const TWO_ZONES: Scene = Scene {
+    machines: 640,
+    zones: 2,
+    gang_sizes: &[1, 2, 6],
+    gangs: 150,
+    gpu_arrays: 12,
+    cpu_arrays: 30,
+    largest_array: 350,
+    busy: 0.7,
+};
+
+/// One controller's part of cedarloop-previews-grown, with the backlog of the start.
+const FOUR_ZONES: Scene = Scene {
+    machines: 240,
+    zones: 4,
+    gang_sizes: &[1, 3, 6, 12, 16],
+    gangs: 30,
+    gpu_arrays: 8,
+    cpu_arrays: 13,
+    largest_array: 500,
+    busy: 0.7,
+};
+
+/// The same later in the day, when nearly all machines are taken and gangs wait.
+const TWO_ZONES_TAKEN: Scene = Scene {
+    cpu_arrays: 3,
+    busy: 0.98,
+    ..TWO_ZONES
+};
+const FOUR_ZONES_TAKEN: Scene = Scene {
+    cpu_arrays: 3,
+    busy: 0.98,
+    ..FOUR_ZONES
+};
+
+const PLAIN: u32 = 0;
+const WITH_GPUS: u32 = 1;
+const IMAGES: u32 = 10;
+
+impl Scene {
+    fn draw(&self, seed: u64) -> (Vec<JobView>, Vec<MachineView>) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let machines = (0..self.machines).map(|n| self.machine(n, &mut rng));
+        let machines = machines.collect();
+        let mut jobs = Vec::new();
+        for _ in 0..self.gangs {
+            let size = self.gang_sizes[rng.random_range(0..self.gang_sizes.len())];
+            jobs.push(self.gang(size, &mut rng));
+        }
+        for _ in 0..self.gpu_arrays {
+            jobs.push(self.array(WITH_GPUS, &mut rng));
+        }
+        for _ in 0..self.cpu_arrays {
+            jobs.push(self.array(PLAIN, &mut rng));
+        }
+        for (index, job) in jobs.iter_mut().enumerate() {
+            job.index = index;
+            job.id = format!("job-{index:06}");
+        }
+        (jobs, machines)
+    }
+
+    fn machine(&self, number: u32, rng: &mut StdRng) -> MachineView {
+        let kind = if rng.random_bool(0.3) {
+            WITH_GPUS
+        } else {
+            PLAIN
+        };
+        let gpus = f64::from(kind) * 2.0;
+        let name = format!("vm-{number:06}");
+        let mut machine = super::tests::machine(&name, 0.0, 16.0);
+        machine.kind = kind;
+        machine.zone = rng.random_range(0..self.zones);
+        machine.spot = rng.random_bool(0.4);
+        machine.price = if kind == WITH_GPUS { 4.61 } else { 0.96 };
+        machine.fetch_gb_per_s = 0.3;
+        machine.slowness = rng.random_range(0.9..1.2);
+        machine.cpus_per_gpu = f64::from(kind) * 6.4;
+        machine.images = (0..IMAGES).filter(|_| rng.random_bool(0.3)).collect();
+        let boots_until = if rng.random_bool(0.1) { 20.0 } else { 0.0 };
+        let busy = if rng.random_bool(self.busy) {
+            rng.random_range(1..=15)
+        } else {
+            0
+        };
+        let busy = f64::from(busy);
+        let room = |cpus: f64, gpus: f64, memory_gb: f64| Need {
+            cpus,
+            gpus,
+            memory_gb,
+        };
+        let free = room(16.0 - busy, gpus, 64.0 - busy * 2.4);
+        machine.chunks = vec![Chunk {
+            at: boots_until,
+            room: free,
+        }];
+        if busy > 0.0 {
+            let ends = boots_until + rng.random_range(1.0..120.0);
+            machine.chunks.push(Chunk {
+                at: ends,
+                room: room(busy, 0.0, busy * 2.4),
+            });
+        }
+        machine
+    }
+
+    fn gang(&self, size: u32, rng: &mut StdRng) -> JobView {
+        let mut job = super::tests::job("", 15.0, size, 0.0);
+        job.gang = true;
+        job.large = true;
+        job.need.memory_gb = 51.0;
+        job.one_zone = true;
+        job.kinds = vec![PLAIN, WITH_GPUS];
+        job.by = By::Start;
+        self.vary(&mut job, 90.0, rng);
+        job
+    }
+
+    fn array(&self, kind: u32, rng: &mut StdRng) -> JobView {
+        let tasks = rng.random_range(1..=self.largest_array);
+        let mut job = super::tests::job("", 1.0, tasks, 0.0);
+        job.need.memory_gb = 2.4;
+        job.kinds = vec![PLAIN, WITH_GPUS];
+        if kind == WITH_GPUS {
+            job.kinds = vec![WITH_GPUS];
+            job.need.cpus = rng.random_range(4.0..8.0);
+            job.need.gpus = 1.0;
+            job.need.memory_gb = 30.0;
+        }
+        self.vary(&mut job, 40.0, rng);
+        job
+    }
+
+    fn vary(&self, job: &mut JobView, seconds: f64, rng: &mut StdRng) {
+        job.duration = seconds * rng.random_range(0.5..2.0);
+        job.due = rng.random_range(-20.0..150.0);
+        job.next_due = job.due + rng.random_range(0.0..150.0);
+        job.arrived = -rng.random_range(0.0..100.0);
+        job.image = rng.random_range(0..IMAGES);
+        job.image_gb = rng.random_range(1.0..6.0);
+        job.spot = rng.random_bool(0.8);
+        job.rented_in = 27.5;
+        job.quota = 100_000;
+        if rng.random_bool(0.2) {
+            job.begun = 1;
+        }
+        if rng.random_bool(0.1) {
+            job.zone = Some(rng.random_range(0..self.zones));
+        }
+        if !job.gang && rng.random_bool(0.2) {
+            job.most_in_zone = job.waiting.len().div_ceil(2) as u32;
+        }
+    }
+}
+
+/// A number that changes with any letter of the text (FNV-1a).
+fn checksum(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |sum, byte| {
+        (sum ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
+
+/// What was decided: sums that people read, and a checksum of every single decision.
+fn trace(scene: &Scene, seed: u64) -> String {
+    let (jobs, machines) = scene.draw(seed);
+    let mut all = String::new();
+    let mut text = String::new();
+    let placed = place(&jobs, &mut machines.clone(), 2, 400);
+    for start in &placed.starts {
+        writeln!(all, "{} {} {}", start.job, start.task, start.machine).unwrap();
+    }
+    let of = |gang: bool| {
+        placed
+            .starts
+            .iter()
+            .filter(|s| jobs[s.job].gang == gang)
+            .count()
+    };
+    writeln!(
+        text,
+        "starts: {} of gangs, {} of arrays",
+        of(true),
+        of(false)
+    )
+    .unwrap();
+    let held = placed.waits.iter().filter(|w| w.held).count();
+    writeln!(
+        text,
+        "waits: {}, with room set aside: {held}",
+        placed.waits.len()
+    )
+    .unwrap();
+    for wait in &placed.waits {
+        writeln!(all, "{} {:?} {}", wait.job, wait.start, wait.held).unwrap();
+    }
+    let predicted = forecast(&jobs, &machines, 2);
+    let sum = |of: &dyn Fn(&super::forecast::Mapped) -> u32| -> u32 {
+        predicted.mapped.iter().map(of).sum()
+    };
+    let (tasks, late, helped) = (sum(&|m| m.tasks), sum(&|m| m.late), sum(&|m| m.helped));
+    writeln!(
+        text,
+        "forecast: {tasks} tasks, {late} late, {helped} helped"
+    )
+    .unwrap();
+    writeln!(text, "machines with work: {}", predicted.used.len()).unwrap();
+    for mapped in &predicted.mapped {
+        writeln!(all, "{mapped:?}").unwrap();
+    }
+    writeln!(text, "checksum: {:016x}", checksum(&all)).unwrap();
+    text
+}
+
+#[test]
+fn decisions_at_full_size_stay_the_same() {
+    let scenes = [
+        ("two zones", &TWO_ZONES),
+        ("two zones, taken", &TWO_ZONES_TAKEN),
+        ("four zones", &FOUR_ZONES),
+        ("four zones, taken", &FOUR_ZONES_TAKEN),
+    ];
+    let mut text = String::new();
+    for (name, scene) in scenes {
+        for seed in [1, 2] {
+            writeln!(text, "{name}, seed {seed}\n{}", trace(scene, seed)).unwrap();
+        }
+    }
+    insta::assert_snapshot!(text);
+}
+
+/// How long a scheduling cycle's mappings take at these sizes. Not a check: run it in a release build,
+/// `cargo test --release -- --ignored --nocapture cost_of_a_mapping`.
+#[test]
+#[ignore = "a measurement"]
+fn cost_of_a_mapping() {
+    let scenes = [
+        ("two zones", &TWO_ZONES),
+        ("two zones, taken", &TWO_ZONES_TAKEN),
+        ("four zones", &FOUR_ZONES),
+        ("four zones, taken", &FOUR_ZONES_TAKEN),
+    ];
+    for (name, scene) in scenes {
+        let (jobs, machines) = scene.draw(1);
+        let rounds = 20;
+        let began = std::time::Instant::now();
+        let mut steps = 0;
+        for _ in 0..rounds {
+            steps += place(&jobs, &mut machines.clone(), 2, 400).steps;
+        }
+        let placing = began.elapsed() / rounds;
+        let began = std::time::Instant::now();
+        for _ in 0..rounds {
+            steps += forecast(&jobs, &machines, 2).steps;
+        }
+        let forecasting = began.elapsed() / rounds;
+        println!(
+            "{name}: placing {placing:?}, forecast {forecasting:?}, steps {}",
+            steps / u64::from(rounds)
+        );
+    }
+}
