Index the machines of a mapping by what jobs ask of them

Cause: each waiting gang looked at every machine of the controller, in each zone, worked out anew when its need would be free there, and put all of them in order; each startup task of a forecast did the same three times. Up to 900,000 machines in 5 s, a forecast of half a second at once, and a pause three times as long after it.

Now machines are parted by kind, zone and rental; when a need is free on a machine and how empty that is are kept until the machine changes; of a gang's places only as many as it takes are put in order; images are sets, and what a search reads of a machine lies side by side.

--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -1,7 +1,9 @@
 //! What becomes of all that waits: each task on the machine where it ends first, however long it
 //! waits there (the paper's equation 1). Done once a period, it predicts the misses.
 
-use super::{JobView, MachineView, NEAR, SLACK, Zones, batch_order, gang_places, startup_order};
+use super::gang::gang_places;
+use super::index::{MachineIndex, StartTimesId, TaskTimes};
+use super::{JobView, MachineView, NEAR, SLACK, Zones, batch_order, startup_order};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
 use std::sync::Arc;
@@ -43,7 +45,7 @@
 struct Mapper<'a> {
     jobs: &'a [JobView],
     progress: Vec<Progress>,
-    machines: Vec<MachineView>,
+    machines: MachineIndex<'a>,
     out: Forecast,
     gangs: usize,
     /// Whether the gang mapped last is late, and whether a machine rented now would help it.
@@ -65,45 +67,53 @@
         most.saturating_sub(self.progress[job].next)
     }
 
-    fn on(&self, job: usize, machine: usize) -> Option<Best> {
-        let (view, at) = (&self.jobs[job], &self.machines[machine]);
-        let start = at.start_for(&view.need)?;
-        let fetch = at.fetch_time(view);
+    /// When one task of a job could start on each machine.
+    fn start_times(&mut self, job: usize) -> StartTimesId {
+        self.machines.start_times(&self.jobs[job].need, 1)[0]
+    }
+
+    fn on(&self, start_times: StartTimesId, times: &TaskTimes, machine: usize) -> Option<Best> {
+        let start = self.machines.start(start_times, machine)?;
+        let fetch = times.fetch(machine);
         Some(Best {
             machine,
             start,
             fetch,
-            end: start + fetch + view.duration * at.slowness,
+            end: start + fetch + times.run(machine),
         })
     }
 
     /// Ends in steps that count as equal, then the cheaper and fuller machine.
     fn rank(&self, job: usize, best: &Best) -> (u64, u64, usize) {
         let near = (self.jobs[job].duration * NEAR).max(SLACK);
-        let machine = &self.machines[best.machine];
-        let price = ((machine.price + machine.emptiness()) * 1e6) as u64;
+        let price = self.machines.price(best.machine);
+        let price = ((price + self.machines.emptiness(best.machine)) * 1e6) as u64;
         ((best.end / near) as u64, price, best.machine)
     }
 
-    fn usable(&self, job: usize, machine: usize) -> bool {
-        let (view, at) = (&self.jobs[job], &self.machines[machine]);
-        view.may_use(at) && view.may_enter(&self.progress[job].zones, at.zone)
+    fn may_enter(&self, job: usize, machine: usize) -> bool {
+        let zone = self.machines.zone(machine);
+        self.jobs[job].may_enter(&self.progress[job].zones, zone)
     }
 
     fn best(&mut self, job: usize) -> Option<Best> {
+        let start_times = self.start_times(job);
+        let mut steps = 0;
         let mut found: Option<((u64, u64, usize), Best)> = None;
-        for machine in 0..self.machines.len() {
-            self.out.steps += 1;
-            if !self.usable(job, machine) {
+        let times = self.machines.task_times(&self.jobs[job]);
+        for machine in self.machines.usable(&self.jobs[job]) {
+            steps += 1;
+            if !self.may_enter(job, machine) {
                 continue;
             }
-            if let Some(best) = self.on(job, machine) {
+            if let Some(best) = self.on(start_times, &times, machine) {
                 let rank = self.rank(job, &best);
                 if found.as_ref().is_none_or(|(least, _)| rank < *least) {
                     found = Some((rank, best));
                 }
             }
         }
+        self.out.steps += steps;
         found.map(|(_, best)| best)
     }
 
@@ -112,9 +122,10 @@
         let progress = &mut self.progress[job];
         progress.next += 1;
         progress.begun += 1;
-        let machine = &mut self.machines[at.machine];
-        machine.occupy(&view.need, at.start, at.end);
-        machine.use_image(view.image);
+        self.machines
+            .occupy(at.machine, &view.need, at.start, at.end);
+        self.machines.use_image(at.machine, view.image);
+        let machine = &self.machines.machines()[at.machine];
         if machine.cpus_per_gpu == 0.0 || view.need.gpus > 0.0 {
             self.out.used.insert(machine.name.clone());
         }
@@ -130,25 +141,31 @@
 
     /// All that is left of an array job: the machines in a heap, by where a task would end first.
     fn run(&mut self, job: usize) {
-        let mut heap = BinaryHeap::new();
-        for machine in 0..self.machines.len() {
-            self.out.steps += 1;
-            if self.usable(job, machine)
-                && let Some(best) = self.on(job, machine)
+        let start_times = self.start_times(job);
+        let times = self.machines.task_times(&self.jobs[job]);
+        let mut ends = Vec::new();
+        let mut steps = 0;
+        for machine in self.machines.usable(&self.jobs[job]) {
+            steps += 1;
+            if self.may_enter(job, machine)
+                && let Some(best) = self.on(start_times, &times, machine)
             {
-                heap.push(Reverse(self.rank(job, &best)));
+                ends.push(Reverse(self.rank(job, &best)));
             }
         }
+        self.out.steps += steps;
+        let mut heap = BinaryHeap::from(ends);
         let mut mapped = 0;
         let mut last_late = true;
         while self.left(job) > 0 && mapped < MOST_OF_A_JOB {
             let Some(Reverse((_, _, machine))) = heap.pop() else {
                 break;
             };
-            if !self.usable(job, machine) {
+            if !self.may_enter(job, machine) {
                 continue;
             }
-            let Some(best) = self.on(job, machine) else {
+            let times = self.machines.task_times(&self.jobs[job]);
+            let Some(best) = self.on(start_times, &times, machine) else {
                 continue;
             };
             let view = &self.jobs[job];
@@ -156,7 +173,8 @@
             self.put(job, &best);
             mapped += 1;
             self.out.steps += 1;
-            if let Some(next) = self.on(job, machine) {
+            let times = self.machines.task_times(&self.jobs[job]);
+            if let Some(next) = self.on(start_times, &times, machine) {
                 heap.push(Reverse(self.rank(job, &next)));
             }
         }
@@ -181,7 +199,7 @@
         }
         self.gangs += 1;
         let view = &self.jobs[job];
-        let Some(places) = gang_places(view, size, &self.machines, &mut self.out.steps) else {
+        let Some(places) = gang_places(view, size, &mut self.machines, &mut self.out.steps) else {
             self.last_gang = (true, true);
             self.rest(job, true);
             return;
@@ -221,16 +239,18 @@
             return !late(&alone);
         }
         let need = self.jobs[first].need;
-        let machine = self.machines[at.machine].clone();
-        self.machines[at.machine].occupy(&need, at.start, at.end);
+        let chunks = self
+            .machines
+            .occupy_for_now(at.machine, &need, at.start, at.end);
         let after = self.best(head);
-        self.machines[at.machine] = machine;
+        self.machines.restore(at.machine, chunks);
         after.is_some_and(|after| !self.jobs[head].is_late(after.start, after.fetch, after.end))
     }
 }
 
 /// Maps all waiting tasks. `startup_count` tasks of each job are startup tasks.
 pub fn forecast(jobs: &[JobView], machines: &[MachineView], startup_count: u32) -> Forecast {
+    let mut machines = machines.to_vec();
     let mut mapper = Mapper {
         jobs,
         progress: jobs
@@ -241,7 +261,7 @@
                 zones: job.zones.clone(),
             })
             .collect(),
-        machines: machines.to_vec(),
+        machines: MachineIndex::new(&mut machines),
         out: Forecast {
             mapped: vec![Mapped::default(); jobs.len()],
             ..Forecast::default()
--- /dev/null
+++ b/src/placement/index.rs
@@ -0,0 +1,317 @@
+//! The machines of one mapping, parted by kind, zone and rental, with the answers that a mapping asks
+//! for again and again: when so much is free, and how empty a machine is. An answer is kept until its
+//! machine changes, so that a job costs a look at the machines that it may use and no more.
+
+use super::{Chunk, Hold, JobView, MachineView, Need};
+use std::cell::Cell;
+use std::collections::HashMap;
+
+/// Machines that are alike in all that a job may demand of a machine.
+#[derive(Debug)]
+struct Group {
+    kind: u32,
+    zone: u32,
+    spot: bool,
+    /// Places of its machines in the mapping, ascending.
+    members: Vec<usize>,
+    /// Those of them on which something may still start now.
+    open: Vec<usize>,
+}
+
+/// What a search asks of every machine, side by side: a view itself is several cache lines, and reading
+/// them for each question took most of a mapping's time.
+#[derive(Debug, Clone, Copy)]
+struct Summary {
+    zone: u32,
+    fetch_gb_per_s: f64,
+    slowness: f64,
+    price: f64,
+    kept_for: Option<usize>,
+}
+
+impl Summary {
+    fn of(machine: &MachineView) -> Self {
+        Self {
+            zone: machine.zone,
+            fetch_gb_per_s: machine.fetch_gb_per_s,
+            slowness: machine.slowness,
+            price: machine.price,
+            kept_for: machine.kept_for,
+        }
+    }
+}
+
+/// A set of machines.
+#[derive(Debug, Clone, Default)]
+struct MachineSet(Vec<u64>);
+
+impl MachineSet {
+    fn insert(&mut self, machine: usize) {
+        let word = machine / WORD_BITS;
+        if self.0.len() <= word {
+            self.0.resize(word + 1, 0);
+        }
+        self.0[word] |= 1 << (machine % WORD_BITS);
+    }
+
+    fn contains(&self, machine: usize) -> bool {
+        let word = self.0.get(machine / WORD_BITS);
+        word.is_some_and(|word| word & (1 << (machine % WORD_BITS)) != 0)
+    }
+}
+
+const WORD_BITS: usize = u64::BITS as usize;
+
+/// What a job's tasks take on each machine beside the time for which they wait: the image's fetch and
+/// the run.
+#[derive(Debug, Clone, Copy)]
+pub struct TaskTimes<'a> {
+    job: &'a JobView,
+    with_image: Option<&'a MachineSet>,
+    summaries: &'a [Summary],
+}
+
+impl TaskTimes<'_> {
+    pub fn fetch(&self, machine: usize) -> f64 {
+        if self.with_image.is_some_and(|set| set.contains(machine)) {
+            return 0.0;
+        }
+        self.job.image_gb / self.summaries[machine].fetch_gb_per_s.max(0.001)
+    }
+
+    pub fn run(&self, machine: usize) -> f64 {
+        self.job.duration * self.summaries[machine].slowness
+    }
+}
+
+/// When a need is free on each machine: NaN where that is yet to be worked out, infinity for never.
+#[derive(Debug)]
+struct StartTimes {
+    need: Need,
+    times: Vec<Cell<f64>>,
+}
+
+/// Stands for the start times of one need until the next call of `start_times`.
+#[derive(Debug, Clone, Copy)]
+pub struct StartTimesId(usize);
+
+/// Most needs whose start times are kept: they take eight bytes a machine.
+const MOST_NEEDS: usize = 32;
+
+/// What rounding may add to a machine's room in the course of a mapping.
+const ROUNDING: f64 = 0.01;
+
+#[derive(Debug)]
+pub struct MachineIndex<'a> {
+    machines: &'a mut [MachineView],
+    summaries: Vec<Summary>,
+    /// Per image, the machines that have it or are fetching it.
+    images: HashMap<u32, MachineSet>,
+    groups: Vec<Group>,
+    emptiness: Vec<Cell<f64>>,
+    start_times: Vec<StartTimes>,
+    /// The most room that any machine has, by resource.
+    largest: Need,
+}
+
+impl<'a> MachineIndex<'a> {
+    pub fn new(machines: &'a mut [MachineView]) -> Self {
+        let mut groups: Vec<Group> = Vec::new();
+        let mut images: HashMap<u32, MachineSet> = HashMap::new();
+        let mut largest = Need::default();
+        for (place, machine) in machines.iter().enumerate() {
+            for image in &machine.images {
+                images.entry(*image).or_default().insert(place);
+            }
+            let room = machine.room_at(f64::INFINITY);
+            largest = Need {
+                cpus: largest.cpus.max(room.cpus),
+                gpus: largest.gpus.max(room.gpus),
+                memory_gb: largest.memory_gb.max(room.memory_gb),
+            };
+            let (kind, zone, spot) = (machine.kind, machine.zone, machine.spot);
+            let same = |g: &&mut Group| (g.kind, g.zone, g.spot) == (kind, zone, spot);
+            match groups.iter_mut().find(same) {
+                Some(group) => group.members.push(place),
+                None => groups.push(Group {
+                    kind,
+                    zone,
+                    spot,
+                    members: vec![place],
+                    open: Vec::new(),
+                }),
+            }
+        }
+        Self {
+            summaries: machines.iter().map(Summary::of).collect(),
+            images,
+            emptiness: vec![Cell::new(f64::NAN); machines.len()],
+            machines,
+            groups,
+            start_times: Vec::new(),
+            largest,
+        }
+    }
+
+    pub fn machines(&self) -> &[MachineView] {
+        self.machines
+    }
+
+    pub fn zone(&self, machine: usize) -> u32 {
+        self.summaries[machine].zone
+    }
+
+    pub fn price(&self, machine: usize) -> f64 {
+        self.summaries[machine].price
+    }
+
+    /// What a task of the job takes on each machine once it has room there.
+    pub fn task_times<'b>(&'b self, job: &'b JobView) -> TaskTimes<'b> {
+        TaskTimes {
+            job,
+            with_image: self.images.get(&job.image),
+            summaries: &self.summaries,
+        }
+    }
+
+    /// Machines that a job may run on, wherever its other tasks are.
+    pub fn usable(&self, job: &JobView) -> impl Iterator<Item = usize> {
+        let members = self.groups_for(job).flat_map(|g| g.members.iter().copied());
+        members.filter(|m| self.is_admitted(job, *m))
+    }
+
+    /// Those of them that are open.
+    pub fn usable_open(&self, job: &JobView) -> impl Iterator<Item = usize> {
+        let open = self.groups_for(job).flat_map(|g| g.open.iter().copied());
+        open.filter(|m| self.is_admitted(job, *m))
+    }
+
+    fn is_admitted(&self, job: &JobView, machine: usize) -> bool {
+        let kept_for = self.summaries[machine].kept_for;
+        kept_for.is_none_or(|kept_for| kept_for == job.index)
+            && (job.avoid.is_empty() || !job.avoid.contains(&*self.machines[machine].name))
+    }
+
+    fn groups_for(&self, job: &JobView) -> impl Iterator<Item = &Group> {
+        let groups = self.groups.iter();
+        groups.filter(|g| job.may_use_sort(g.kind, g.zone, g.spot))
+    }
+
+    /// Opens the machines for which the condition holds.
+    pub fn open(&mut self, is_open: impl Fn(usize) -> bool) {
+        for group in &mut self.groups {
+            let members = group.members.iter().copied();
+            group.open = members.filter(|m| is_open(*m)).collect();
+        }
+    }
+
+    /// Of the open machines, closes those for which the condition no longer holds.
+    pub fn retain_open(&mut self, is_open: impl Fn(usize) -> bool) {
+        for group in &mut self.groups {
+            group.open.retain(|m| is_open(*m));
+        }
+    }
+
+    /// The start times of one, two and so on up to `count` times a need, as far as any machine could
+    /// ever take as much.
+    pub fn start_times(&mut self, need: &Need, count: usize) -> Vec<StartTimesId> {
+        if self.start_times.len() + count > MOST_NEEDS {
+            self.start_times.clear();
+        }
+        let mut found = Vec::new();
+        let mut all = Need::default();
+        for _ in 0..count {
+            all.add(need);
+            if !found.is_empty() && !self.may_ever_take(&all) {
+                break;
+            }
+            found.push(self.start_times_of(&all));
+        }
+        found
+    }
+
+    fn may_ever_take(&self, need: &Need) -> bool {
+        need.cpus <= self.largest.cpus + ROUNDING
+            && need.gpus <= self.largest.gpus + ROUNDING
+            && need.memory_gb <= self.largest.memory_gb + ROUNDING
+    }
+
+    fn start_times_of(&mut self, need: &Need) -> StartTimesId {
+        let known = self.start_times.iter().position(|s| s.need == *need);
+        let id = known.unwrap_or_else(|| {
+            self.start_times.push(StartTimes {
+                need: *need,
+                times: vec![Cell::new(f64::NAN); self.machines.len()],
+            });
+            self.start_times.len() - 1
+        });
+        StartTimesId(id)
+    }
+
+    /// The earliest time at which the need is free on a machine, beside all that is set aside there.
+    pub fn start(&self, id: StartTimesId, machine: usize) -> Option<f64> {
+        let start_times = &self.start_times[id.0];
+        let known = &start_times.times[machine];
+        if known.get().is_nan() {
+            let start = self.machines[machine].start_for(&start_times.need);
+            known.set(start.unwrap_or(f64::INFINITY));
+        }
+        Some(known.get()).filter(|start| start.is_finite())
+    }
+
+    /// The part of a machine's room that is free now, as a small tie-breaker between equal prices.
+    pub fn emptiness(&self, machine: usize) -> f64 {
+        let known = &self.emptiness[machine];
+        if known.get().is_nan() {
+            known.set(self.machines[machine].emptiness());
+        }
+        known.get()
+    }
+
+    /// Takes room on a machine for a task that starts and ends then.
+    pub fn occupy(&mut self, machine: usize, need: &Need, start: f64, end: f64) {
+        self.machines[machine].occupy(need, start, end);
+        self.forget(machine);
+    }
+
+    /// Sets room on a machine aside.
+    pub fn hold(&mut self, machine: usize, hold: Hold) {
+        let holds = &mut self.machines[machine].holds;
+        let before = holds.partition_point(|h| h.at <= hold.at);
+        holds.insert(before, hold);
+        self.forget(machine);
+    }
+
+    pub fn use_image(&mut self, machine: usize, image: u32) {
+        self.machines[machine].use_image(image);
+        self.images.entry(image).or_default().insert(machine);
+    }
+
+    /// Takes room on a machine until it is restored with what this returns.
+    pub fn occupy_for_now(
+        &mut self,
+        machine: usize,
+        need: &Need,
+        start: f64,
+        end: f64,
+    ) -> Vec<Chunk> {
+        let chunks = self.machines[machine].chunks.clone();
+        self.occupy(machine, need, start, end);
+        chunks
+    }
+
+    pub fn restore(&mut self, machine: usize, chunks: Vec<Chunk>) {
+        self.machines[machine].chunks = chunks;
+        self.forget(machine);
+    }
+
+    fn forget(&self, machine: usize) {
+        self.emptiness[machine].set(f64::NAN);
+        for start_times in &self.start_times {
+            start_times.times[machine].set(f64::NAN);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod cache;
 pub mod forecast;
+mod gang;
+mod index;
 pub mod now;
 pub mod preempt;
 pub mod service;
@@ -281,12 +283,15 @@
         }
     }
 
+    /// Whether it may run on a sort of machine, wherever its other tasks are.
+    fn may_use_sort(&self, kind: u32, zone: u32, spot: bool) -> bool {
+        (!spot || self.spot) && self.kinds.contains(&kind) && self.zone.is_none_or(|z| z == zone)
+    }
+
     /// Whether a machine is one that it may run on, wherever its other tasks are.
     fn may_use(&self, machine: &MachineView) -> bool {
-        (!machine.spot || self.spot)
+        self.may_use_sort(machine.kind, machine.zone, machine.spot)
             && machine.kept_for.is_none_or(|job| job == self.index)
-            && self.kinds.contains(&machine.kind)
-            && self.zone.is_none_or(|z| z == machine.zone)
             && (self.avoid.is_empty() || !self.avoid.contains(&*machine.name))
     }
 
@@ -327,112 +332,6 @@
     order
 }
 
-/// Zones of the machines that a job may use, each by itself where all its tasks must share one.
-fn zones_for(job: &JobView, machines: &[MachineView]) -> Vec<Option<u32>> {
-    if !job.one_zone {
-        return vec![None];
-    }
-    let mut zones: Vec<u32> = machines.iter().map(|m| m.zone).collect();
-    zones.sort_unstable();
-    zones.dedup();
-    zones.into_iter().map(Some).collect()
-}
-
-/// A place for one task of a gang.
-#[derive(Debug, Clone, Copy)]
-struct Place {
-    machine: usize,
-    start: f64,
-    fetch: f64,
-    end: f64,
-}
-
-/// Where a gang of that size would be complete first: all its tasks start with the last. A gang
-/// for one zone is tried in each.
-fn gang_places(
-    job: &JobView,
-    size: usize,
-    machines: &[MachineView],
-    steps: &mut u64,
-) -> Option<Vec<Place>> {
-    let mut best: Option<(f64, Vec<Place>)> = None;
-    for zone in zones_for(job, machines) {
-        let mut open: Vec<(f64, f64, Place)> = Vec::new();
-        for (index, machine) in machines.iter().enumerate() {
-            *steps += 1;
-            if zone.is_some_and(|z| z != machine.zone) || !job.may_use(machine) {
-                continue;
-            }
-            let fetch = machine.fetch_time(job);
-            let mut all = Need::default();
-            for _ in 0..size {
-                all.add(&job.need);
-                let Some(start) = machine.start_for(&all) else {
-                    break;
-                };
-                let place = Place {
-                    machine: index,
-                    start,
-                    fetch,
-                    end: start + fetch + job.duration * machine.slowness,
-                };
-                open.push((place.end, machine.emptiness(), place));
-            }
-        }
-        // Among equals the emptiest: what a waiting gang has had set aside so far stays with it,
-        // or else its machines would be filled again while others are emptied for it.
-        let class = |end: f64| end.round() as u64;
-        open.sort_by(|a, b| class(a.0).cmp(&class(b.0)).then(b.1.total_cmp(&a.1)));
-        let open = || open.iter().map(|o| o.2);
-        // What is free now is taken although other machines, free a little later, would be done
-        // sooner: a gang that always waits for the next better one never starts.
-        let at_once = take_places(job, size, machines, open().filter(|p| p.start <= SLACK));
-        let patience = if at_once.is_some() {
-            job.duration * WORTH_WAITING
-        } else {
-            0.0
-        };
-        let later = take_places(job, size, machines, open());
-        for (found, handicap) in [(at_once, 0.0), (later, patience)] {
-            if let Some((end, places)) = found
-                && best.as_ref().is_none_or(|(e, _)| end + handicap < *e)
-            {
-                best = Some((end + handicap, places));
-            }
-        }
-    }
-    best.map(|(_, places)| places)
-}
-
-/// For so much of its run time a gang does not wait where it could start.
-const WORTH_WAITING: f64 = 0.25;
-
-/// The first places that its zones allow, if there are enough, and when the gang would end there:
-/// it starts with its last task and runs as fast as its slowest machine.
-fn take_places(
-    job: &JobView,
-    size: usize,
-    machines: &[MachineView],
-    open: impl Iterator<Item = Place>,
-) -> Option<(f64, Vec<Place>)> {
-    let mut zones = Zones::new();
-    let mut places: Vec<Place> = Vec::with_capacity(size);
-    for place in open {
-        let zone = machines[place.machine].zone;
-        if places.len() < size && job.may_enter(&zones, zone) {
-            *zones.entry(zone).or_default() += 1;
-            places.push(place);
-        }
-    }
-    if places.len() < size {
-        return None;
-    }
-    let most = |of: &dyn Fn(&Place) -> f64| places.iter().map(of).fold(0.0, f64::max);
-    let ready = most(&|p| p.start) + most(&|p| p.fetch);
-    let end = ready + most(&|p| p.end - p.start - p.fetch);
-    Some((end, places))
-}
-
 #[derive(Debug, Clone, PartialEq)]
 pub struct Start {
     pub job: usize,
--- a/src/placement/now.rs
+++ b/src/placement/now.rs
@@ -1,10 +1,14 @@
 //! What can start at once. Work follows the machines that have room, not the fleet's size; only
 //! gangs and tasks that fill a machine look further, to have room set aside for them.
 
+use super::gang::{Place, gang_places};
+use super::index::MachineIndex;
 use super::{
     By, Hold, JobView, MachineView, NEAR, Need, SLACK, Start, Zones, batch_order,
-    first as first_class, gang_places, startup_order,
+    first as first_class, startup_order,
 };
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
 
 /// A job that found no room, and when it would if it waits.
 #[derive(Debug, Clone, PartialEq)]
@@ -42,9 +46,8 @@
 struct Placer<'a> {
     jobs: &'a [JobView],
     progress: Vec<Progress>,
-    machines: &'a mut [MachineView],
-    /// Machines with room now, and that room.
-    open: Vec<usize>,
+    machines: MachineIndex<'a>,
+    /// The room that each machine has now.
     free: Vec<Need>,
     held: usize,
     looked_ahead: usize,
@@ -58,6 +61,50 @@
     end: f64,
 }
 
+/// A candidate, and what decides between several: ends that count as equal, then the cheaper and fuller
+/// machine.
+#[derive(Debug, Clone, Copy)]
+struct RankedCandidate {
+    end_class: u64,
+    price: f64,
+    candidate: Candidate,
+}
+
+impl Ord for RankedCandidate {
+    /// The best candidate is the greatest, as a heap wants it.
+    fn cmp(&self, other: &Self) -> Ordering {
+        let order = self.end_class.cmp(&other.end_class);
+        let order = order.then(self.price.total_cmp(&other.price));
+        let order = order.then(self.candidate.machine.cmp(&other.candidate.machine));
+        order.reverse()
+    }
+}
+
+impl PartialOrd for RankedCandidate {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for RankedCandidate {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for RankedCandidate {}
+
+/// Machines where a task could start now; only those that are looked at are put in order.
+struct Candidates(BinaryHeap<RankedCandidate>);
+
+impl Iterator for Candidates {
+    type Item = Candidate;
+
+    fn next(&mut self) -> Option<Candidate> {
+        self.0.pop().map(|ranked| ranked.candidate)
+    }
+}
+
 impl Placer<'_> {
     fn left(&self, job: usize) -> usize {
         let progress = &self.progress[job];
@@ -68,39 +115,39 @@
     }
 
     /// Machines where a task of the job could start now, best first.
-    fn candidates(&mut self, job: usize) -> Vec<Candidate> {
+    fn candidates(&mut self, job: usize) -> Candidates {
         let view = &self.jobs[job];
         let zones = &self.progress[job].zones;
+        let times = self.machines.task_times(view);
+        let mut steps = 0;
         let mut found = Vec::new();
-        for &index in &self.open {
-            let machine = &self.machines[index];
-            self.out.steps += 1;
-            if !machine.takes(&view.need, &self.free[index])
-                || !view.may_use(machine)
-                || !view.may_enter(zones, machine.zone)
-            {
+        for machine in self.machines.usable_open(view) {
+            steps += 1;
+            let zone = self.machines.zone(machine);
+            if !view.need.fits(&self.free[machine]) || !view.may_enter(zones, zone) {
                 continue;
             }
-            let fetch = machine.fetch_time(view);
-            let end = fetch + view.duration * machine.slowness;
-            if machine.leaves_holds(&view.need, end) {
-                let rank = machine.price + machine.emptiness();
-                let found_one = Candidate {
-                    machine: index,
+            let at = &self.machines.machines()[machine];
+            let fetch = times.fetch(machine);
+            let end = fetch + times.run(machine);
+            if at.takes(&view.need, &self.free[machine]) && at.leaves_holds(&view.need, end) {
+                found.push(Candidate {
+                    machine,
                     fetch,
                     end,
-                };
-                found.push((end, rank, found_one));
+                });
             }
         }
-        let first = found.iter().map(|f| f.0).fold(f64::INFINITY, f64::min);
+        self.out.steps += steps;
+        let first = found.iter().map(|f| f.end).fold(f64::INFINITY, f64::min);
         let near = (view.duration * NEAR).max(SLACK);
-        let class = |end: f64| ((end - first) / near) as u64;
-        found.sort_by(|a, b| {
-            let by_end = class(a.0).cmp(&class(b.0));
-            by_end.then(a.1.total_cmp(&b.1))
+        let ranked = found.into_iter().map(|candidate| RankedCandidate {
+            end_class: ((candidate.end - first) / near) as u64,
+            price: self.machines.price(candidate.machine)
+                + self.machines.emptiness(candidate.machine),
+            candidate,
         });
-        found.into_iter().map(|f| f.2).collect()
+        Candidates(ranked.collect())
     }
 
     fn start(&mut self, job: usize, at: &Candidate) {
@@ -110,10 +157,11 @@
         progress.next += 1;
         progress.quota -= 1;
         progress.begun += 1;
-        let machine = &mut self.machines[at.machine];
-        *progress.zones.entry(machine.zone).or_default() += 1;
-        machine.occupy(&view.need, 0.0, at.end.max(0.001));
-        machine.use_image(view.image);
+        let zone = self.machines.zone(at.machine);
+        *progress.zones.entry(zone).or_default() += 1;
+        let end = at.end.max(0.001);
+        self.machines.occupy(at.machine, &view.need, 0.0, end);
+        self.machines.use_image(at.machine, view.image);
         self.free[at.machine].sub(&view.need);
         self.out.starts.push(Start {
             job,
@@ -129,7 +177,7 @@
         for at in candidates {
             while wanted > 0 {
                 let view = &self.jobs[job];
-                let machine = &self.machines[at.machine];
+                let machine = &self.machines.machines()[at.machine];
                 if !machine.takes(&view.need, &self.free[at.machine])
                     || !view.may_enter(&self.progress[job].zones, machine.zone)
                     || !machine.leaves_holds(&view.need, at.end)
@@ -163,7 +211,7 @@
             if self.looked_ahead >= MOST_LOOKED_AHEAD {
                 break;
             }
-            let places = gang_places(view, size, self.machines, &mut self.out.steps);
+            let places = gang_places(view, size, &mut self.machines, &mut self.out.steps);
             let Some(places) = places.filter(|p| self.zones_allow(job, p)) else {
                 break;
             };
@@ -191,7 +239,7 @@
                 return;
             }
             self.looked_ahead += 1;
-            if self.held > 0 && (self.held + size) as f64 > self.machines.len() as f64 * MOST_HELD {
+            if self.held > 0 && (self.held + size) as f64 > self.free.len() as f64 * MOST_HELD {
                 break;
             }
             self.held += size;
@@ -206,9 +254,7 @@
                     need: view.need,
                     job,
                 };
-                let holds = &mut self.machines[place.machine].holds;
-                let before = holds.partition_point(|h| h.at <= hold.at);
-                holds.insert(before, hold);
+                self.machines.hold(place.machine, hold);
             }
             break;
         }
@@ -216,12 +262,12 @@
     }
 
     /// Array tasks in one zone, or spread, depend on where the others are.
-    fn zones_allow(&self, job: usize, places: &[super::Place]) -> bool {
+    fn zones_allow(&self, job: usize, places: &[Place]) -> bool {
         let view = &self.jobs[job];
         view.gang
             || places
                 .iter()
-                .all(|p| view.may_enter(&self.progress[job].zones, self.machines[p.machine].zone))
+                .all(|p| view.may_enter(&self.progress[job].zones, self.machines.zone(p.machine)))
     }
 
     fn is_whole(&self, job: usize) -> bool {
@@ -231,20 +277,21 @@
     /// The paper's guard: a startup task goes ahead only if the batch head would still be in time.
     /// What the head would lose is one place among those that are free now.
     fn startup_may_pass(&mut self, first: usize, head: usize) -> bool {
-        let heads = self.candidates(head);
-        let Some(alone) = heads.first() else {
+        let mut heads = self.candidates(head);
+        let Some(alone) = heads.next() else {
             return true; // the head cannot start now whatever happens
         };
         if self.jobs[head].is_late(0.0, alone.fetch, alone.end) {
             return false;
         }
-        let firsts = self.candidates(first);
-        let Some(taken) = firsts.first() else {
+        let Some(taken) = self.candidates(first).next() else {
             return true;
         };
-        if taken.machine != alone.machine || heads.len() > 1 {
-            let other = heads.iter().find(|c| c.machine != taken.machine);
-            return other.is_none_or(|o| !self.jobs[head].is_late(0.0, o.fetch, o.end));
+        if taken.machine != alone.machine {
+            return true; // the head keeps its place, and is in time there
+        }
+        if let Some(other) = heads.next() {
+            return !self.jobs[head].is_late(0.0, other.fetch, other.end);
         }
         let mut room = self.free[alone.machine];
         room.sub(&self.jobs[first].need);
@@ -267,9 +314,8 @@
         .map(|j| j.need.cpus)
         .fold(f64::INFINITY, f64::min);
     let free: Vec<Need> = machines.iter().map(|m| m.room_at(0.0)).collect();
-    let open = (0..machines.len())
-        .filter(|i| free[*i].cpus + SLACK >= least && free[*i].memory_gb > 0.0)
-        .collect();
+    let mut machines = MachineIndex::new(machines);
+    machines.open(|m| free[m].cpus + SLACK >= least && free[m].memory_gb > 0.0);
     let mut placer = Placer {
         jobs,
         progress: jobs
@@ -284,7 +330,6 @@
             })
             .collect(),
         machines,
-        open,
         free,
         held: 0,
         looked_ahead: 0,
@@ -293,10 +338,15 @@
     let mut batch = batch_order(jobs);
     let startup = startup_order(jobs);
     let (mut batch_at, mut startup_at) = (0, 0);
+    let mut starts_seen = 0;
     while placer.out.starts.len() < most {
-        let fully = |placer: &Placer, i: usize| placer.free[i].cpus + SLACK < least;
-        let open = std::mem::take(&mut placer.open);
-        placer.open = open.into_iter().filter(|i| !fully(&placer, *i)).collect();
+        if placer.out.starts.len() > starts_seen {
+            starts_seen = placer.out.starts.len();
+            let free = &placer.free;
+            placer
+                .machines
+                .retain_open(|m| free[m].cpus + SLACK >= least);
+        }
         while batch_at < jobs.len() && placer.left(batch[batch_at]) == 0 {
             batch_at += 1;
         }
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -90,7 +90,7 @@
         }
         let size = if job.gang { job.waiting.len() } else { 1 };
         let mut best: Option<(f64, Vec<Cleared>)> = None;
-        for zone in super::zones_for(job, machines) {
+        for zone in zones_for(job, machines) {
             let mut chances = Vec::new();
             for (index, machine) in machines.iter().enumerate() {
                 if zone.is_some_and(|z| z != machine.zone)
@@ -148,6 +148,17 @@
     made
 }
 
+/// Zones of the machines, each by itself where all tasks of the job must share one.
+fn zones_for(job: &JobView, machines: &[MachineView]) -> Vec<Option<u32>> {
+    if !job.one_zone {
+        return vec![None];
+    }
+    let mut zones: Vec<u32> = machines.iter().map(|m| m.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    zones.into_iter().map(Some).collect()
+}
+
 /// The tasks of a machine whose stopping frees enough at the least loss; none where it has room.
 fn victims<'a>(
     need: &Need,
