Read tasks' entries by reference, and forget attempts that ended

Views of jobs and machines copied every task's entry, machine name and all, each time one task changed; reading a report did the same.

--- a/src/jobs/pages.rs
+++ b/src/jobs/pages.rs
@@ -80,11 +80,14 @@
 
 impl Default for Entry {
     fn default() -> Self {
-        Entry::Waiting { last: 0 }
+        Entry::NEVER_STARTED
     }
 }
 
 impl Entry {
+    /// What holds for a task that no page tells of.
+    pub const NEVER_STARTED: Entry = Entry::Waiting { last: 0 };
+
     pub fn last_attempt(&self) -> u64 {
         match self {
             Entry::Waiting { last } => *last,
@@ -151,8 +154,8 @@
 pub struct Page(pub Vec<Entry>);
 
 impl Page {
-    pub fn get(&self, slot: usize) -> Entry {
-        self.0.get(slot).cloned().unwrap_or_default()
+    pub fn get(&self, slot: usize) -> &Entry {
+        self.0.get(slot).unwrap_or(&Entry::NEVER_STARTED)
     }
 
     pub fn set(&mut self, slot: usize, entry: Entry) {
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -169,13 +169,13 @@
         let mut placed = i64::from(job.placed);
         for (task, entry) in planned.into_iter().flatten() {
             placed += i64::from(is_placed(entry));
-            placed -= i64::from(is_placed(&core.replica.entry(id, *task)));
+            placed -= i64::from(is_placed(core.replica.entry(id, *task)));
         }
         return (placed == 0).then_some(Final::Cancelled);
     }
     let mut done = job.done;
     for (task, entry) in planned.into_iter().flatten() {
-        if *entry == Entry::Done && core.replica.entry(id, *task) != Entry::Done {
+        if *entry == Entry::Done && *core.replica.entry(id, *task) != Entry::Done {
             done += 1;
         }
     }
@@ -467,7 +467,7 @@
     let tasks = first..first.saturating_add(count as u32);
     let tasks = tasks.take_while(|task| *task < job.record.spec.tasks);
     let mut entries: Vec<Entry> = tasks
-        .map(|task| job.entry(&core.replica.layout, task))
+        .map(|task| job.entry(&core.replica.layout, task).clone())
         .collect();
     while entries.last() == Some(&Entry::default()) {
         entries.pop();
@@ -583,13 +583,13 @@
             .jobs
             .contains_key(id)
             .then(|| replica.entry(id, *task));
-        matches!(entry, Some(Entry::Placed { attempt: held, .. }) if held == *attempt)
+        matches!(entry, Some(Entry::Placed { attempt: held, .. }) if held == attempt)
     });
     let mut over = Vec::new();
     for (id, changes) in core.plans.all() {
         let known = core.replica.jobs.contains_key(id);
         for (task, entry) in changes {
-            if !known || !applies(&core.replica.entry(id, *task), entry) {
+            if !known || !applies(core.replica.entry(id, *task), entry) {
                 over.push((id.clone(), *task));
             }
         }
--- a/src/jobs/writer/tests.rs
+++ b/src/jobs/writer/tests.rs
@@ -309,7 +309,7 @@
     core.note_ownership(&me, Instant::now());
     withdraw_unstartable(&mut core, &me);
     assert_eq!(core.plans.on("vm-1").count(), 0);
-    assert_eq!(core.entry("job-1", 1), Entry::Waiting { last: 0 });
+    assert_eq!(*core.entry("job-1", 1), Entry::Waiting { last: 0 });
 }
 
 /// Aim `deadline dawn-dispatch-push`, .33 on `troubles` after the limits fell: one node's starts took
--- a/src/node.rs
+++ b/src/node.rs
@@ -199,21 +199,21 @@
     }
 
     /// Where a task stands, with what is about to be recorded.
-    pub fn entry(&self, job: &str, task: u32) -> Entry {
+    pub fn entry(&self, job: &str, task: u32) -> &Entry {
         match self.plans.get(job, task) {
-            Some(planned) => planned.clone(),
+            Some(planned) => planned,
             None => self.replica.entry(job, task),
         }
     }
 
     pub fn plan(&mut self, id: &TaskId, entry: Entry) {
         let held = self.replica.entry(&id.0, id.1);
-        self.plans.insert(id, &held, entry);
+        self.plans.insert(id, held, entry);
     }
 
     pub fn unplan(&mut self, id: &TaskId) {
         let held = self.replica.entry(&id.0, id.1);
-        self.plans.remove(id, &held);
+        self.plans.remove(id, held);
     }
 
     pub fn kind(&self, name: &str) -> Option<&Kind> {
--- a/src/placement/cache.rs
+++ b/src/placement/cache.rs
@@ -5,12 +5,14 @@
 use super::{Chunk, JobView, MachineView, Names, Need, Zones};
 use crate::cloud::Kind;
 use crate::fleet::Use;
-use crate::jobs::{Entry, JobRecord, JobSpec};
+use crate::jobs::{Entry, JobRecord, JobSpec, split_task};
 use crate::membership::shares::Member;
 use crate::node::{Core, Node, age_s};
 use crate::pipelines::paths::{Pull, pulls};
+use crate::state::replica::Job;
 use crate::workers::{Live, TaskId, TaskState};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::borrow::Cow;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -243,7 +245,7 @@
         let job = core.replica.jobs.get(id).filter(|_| core.owns_job(me, id));
         match job.filter(|job| !job.record.cancelled) {
             Some(job) => {
-                let progress = progress(core, &mut cache.names, &job.record);
+                let progress = progress(core, &mut cache.names, job);
                 cache.jobs.insert(id.clone(), progress);
             }
             None => {
@@ -256,18 +258,20 @@
     (machines.len() + jobs.len()) as u64
 }
 
-fn progress(core: &Core, names: &mut Names, record: &JobRecord) -> Progress {
-    let spec = &record.spec;
+fn progress(core: &Core, names: &mut Names, job: &Job) -> Progress {
+    let spec = &job.record.spec;
     let mut out = Progress::default();
     let mut waiting = Vec::new();
+    let planned = core.plans.of(&spec.id);
     for task in 0..spec.tasks {
-        match core.entry(&spec.id, task) {
+        let planned = planned.and_then(|changes| changes.get(&task));
+        match planned.unwrap_or_else(|| job.entry(&core.replica.layout, task)) {
             Entry::Waiting { .. } if waiting.len() < MOST_WAITING => waiting.push(task),
             Entry::Waiting { .. } => {}
             Entry::Done => out.done += 1,
             Entry::Placed { machine, .. } => {
                 out.placed += 1;
-                if let Some(machine) = core.replica.fleet.machines.get(&machine) {
+                if let Some(machine) = core.replica.fleet.machines.get(machine) {
                     *out.zones.entry(names.number(&machine.zone)).or_default() += 1;
                 }
             }
@@ -292,19 +296,23 @@
 }
 
 /// Tasks on a machine: recorded, about to be recorded, or reported.
-pub fn tasks_on(core: &Core, name: &str) -> BTreeSet<TaskId> {
-    let mut on: BTreeSet<TaskId> = BTreeSet::new();
-    let here = |id: &TaskId| matches!(core.entry(&id.0, id.1), Entry::Placed { machine, .. } if machine == name);
+pub fn tasks_on<'a>(core: &'a Core, name: &str) -> Vec<Cow<'a, TaskId>> {
+    let is_here = |id: &&TaskId| matches!(core.entry(&id.0, id.1), Entry::Placed { machine, .. } if machine == name);
     let recorded = core.replica.on.get(name).into_iter().flatten();
-    on.extend(recorded.filter(|id| here(id)).cloned());
-    on.extend(core.plans.on(name).cloned());
-    if let Some(live) = core.workers.live.get(name) {
-        for task in &live.report.tasks {
-            if task.state != TaskState::Ended
-                && let Some((job, index)) = crate::jobs::split_task(&task.task)
-            {
-                on.insert((job.to_owned(), index));
-            }
+    let mut on: Vec<Cow<TaskId>> = recorded.filter(is_here).map(Cow::Borrowed).collect();
+    on.extend(core.plans.on(name).map(Cow::Borrowed));
+    on.sort_unstable();
+    on.dedup();
+    let Some(live) = core.workers.live.get(name) else {
+        return on;
+    };
+    let running = live.report.tasks.iter();
+    for task in running.filter(|t| t.state != TaskState::Ended) {
+        let Some(id) = split_task(&task.task) else {
+            continue;
+        };
+        if let Err(place) = on.binary_search_by(|known| (known.0.as_str(), known.1).cmp(&id)) {
+            on.insert(place, Cow::Owned((id.0.to_owned(), id.1)));
         }
     }
     on
@@ -395,7 +403,7 @@
     now: Instant,
 ) -> f64 {
     if let Entry::Placed { attempt, .. } = core.entry(&id.0, id.1)
-        && let Some(grace) = core.workers.stops.get(&(id.clone(), attempt))
+        && let Some(grace) = core.workers.stops.get(&(id.clone(), *attempt))
     {
         return STOP_TAKES_S + grace;
     }
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -160,10 +160,11 @@
 
 fn stop(core: &mut Core, id: crate::workers::TaskId, attempt: u64, grace: f64) {
     if let Entry::Placed { machine, .. } = core.entry(&id.0, id.1) {
+        let machine = machine.clone();
         core.plans.touch_machine(&machine);
     }
     let held = core.replica.entry(&id.0, id.1);
-    if !matches!(held, Entry::Placed { attempt: held, .. } if held == attempt) {
+    if !matches!(held, Entry::Placed { attempt: held, .. } if *held == attempt) {
         // Planned and in no record, nor on its way into one while a turn is being planned: it has
         // not begun and will not, so its room is free at once.
         core.unplan(&id);
@@ -190,7 +191,7 @@
         };
         for task in 0..job.record.spec.tasks {
             if let Entry::Placed { attempt, .. } = core.entry(id, task) {
-                stops.push(((id.clone(), task), attempt));
+                stops.push(((id.clone(), task), *attempt));
             }
         }
     }
@@ -228,7 +229,7 @@
             for task in mates(spec, id.1) {
                 let mate = (id.0.clone(), task);
                 if let Entry::Placed { attempt, .. } = core.entry(&mate.0, task) {
-                    stops.push(((mate, attempt), grace));
+                    stops.push(((mate, *attempt), grace));
                 }
             }
         }
@@ -262,9 +263,10 @@
         if let Entry::Placed {
             attempt, machine, ..
         } = core.entry(&id.0, id.1)
-            && !core.replica.fleet.machines.contains_key(&machine)
+            && !core.replica.fleet.machines.contains_key(machine)
         {
-            core.plan(&id, Entry::Waiting { last: attempt });
+            let last = *attempt;
+            core.plan(&id, Entry::Waiting { last });
         }
     }
 }
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -157,8 +157,8 @@
         }
     };
     for name in core.replica.fleet.machines.keys() {
-        for (job, _) in tasks_on(core, name) {
-            add(&job);
+        for id in tasks_on(core, name) {
+            add(&id.0);
         }
     }
     used
@@ -324,11 +324,12 @@
     };
     let mut there = Vec::new();
     for id in tasks_on(core, name) {
+        let id = id.into_owned();
         let Some(job) = core.replica.jobs.get(&id.0) else {
             continue;
         };
         let spec = &job.record.spec;
-        let Entry::Placed { attempt, .. } = core.entry(&id.0, id.1) else {
+        let Entry::Placed { attempt, .. } = *core.entry(&id.0, id.1) else {
             continue;
         };
         let ran = live.running_since.get(&id).map_or(0.0, |(_, since)| {
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -43,12 +43,17 @@
 }
 
 /// Where a task stands by a job's pages: by its dense page, if there is one, and else by its wide one.
-fn entry_in(page: impl Fn(PageId) -> Option<Entry>, layout: &Layout, task: u32) -> Entry {
-    let dense = layout.uses_dense().then(|| page(layout.dense_of(task)));
+fn entry_in<'a>(
+    page: impl Fn(PageId) -> Option<&'a Kept<Page>>,
+    layout: &Layout,
+    task: u32,
+) -> &'a Entry {
+    let on = |id: PageId| Some(page(id)?.record.get(layout.slot(id, task)));
+    let dense = layout.uses_dense().then(|| on(layout.dense_of(task)));
     dense
         .flatten()
-        .or_else(|| page(layout.wide_of(task)))
-        .unwrap_or_default()
+        .or_else(|| on(layout.wide_of(task)))
+        .unwrap_or(&Entry::NEVER_STARTED)
 }
 
 impl Job {
@@ -70,12 +75,8 @@
         self.placed = self.placed + placed(after) - placed(before);
     }
 
-    pub fn entry(&self, layout: &Layout, task: u32) -> Entry {
-        let of = |page: PageId| {
-            let kept = self.pages.get(&page)?;
-            Some(kept.record.get(layout.slot(page, task)))
-        };
-        entry_in(of, layout, task)
+    pub fn entry(&self, layout: &Layout, task: u32) -> &Entry {
+        entry_in(|page| self.pages.get(&page), layout, task)
     }
 
     pub fn page_mark(&self, page: PageId) -> u64 {
@@ -307,7 +308,7 @@
         }
         if !job.pages.is_empty() {
             for task in 0..job.record.spec.tasks {
-                let entry = job.entry(&self.layout, task);
+                let entry = job.entry(&self.layout, task).clone();
                 job.count(&Entry::default(), &entry);
                 self.index(id, task, &Entry::default(), &entry);
             }
@@ -321,7 +322,8 @@
         self.pipelines.remove(id);
         if let Some(job) = self.jobs.get(id) {
             let tasks = 0..job.record.spec.tasks;
-            let entries: Vec<Entry> = tasks.map(|task| job.entry(&self.layout, task)).collect();
+            let entries = tasks.map(|task| job.entry(&self.layout, task).clone());
+            let entries: Vec<Entry> = entries.collect();
             for (task, entry) in entries.iter().enumerate() {
                 self.index(id, task as u32, entry, &Entry::Done);
             }
@@ -413,7 +415,7 @@
     fn entries(&self, id: &str, page: PageId, slots: usize) -> Vec<Entry> {
         let first = self.layout.span(page).0;
         let tasks = first..first + slots as u32;
-        tasks.map(|task| self.entry(id, task)).collect()
+        tasks.map(|task| self.entry(id, task).clone()).collect()
     }
 
     /// Notes what differs from before on a page: which tasks are on which machine, and the counts.
@@ -422,9 +424,10 @@
         for (slot, old) in before.into_iter().enumerate() {
             let task = first + slot as u32;
             let new = self.entry(id, task);
-            if old == new {
+            if old == *new {
                 continue;
             }
+            let new = new.clone();
             if let Some(job) = self.jobs.get_mut(id) {
                 job.count(&old, &new);
                 self.index(id, task, &old, &new);
@@ -528,18 +531,15 @@
     }
 
     /// Where the records say that a task stands; tasks of jobs that ended have pages for a while.
-    pub fn entry(&self, job: &str, task: u32) -> Entry {
+    pub fn entry(&self, job: &str, task: u32) -> &Entry {
         if let Some(job) = self.jobs.get(job) {
             return job.entry(&self.layout, task);
         }
         if self.orphans.is_empty() {
-            return Entry::default();
+            return &Entry::NEVER_STARTED;
         }
-        let of = |page: PageId| {
-            let kept = self.orphans.get(&(job.to_owned(), page))?;
-            Some(kept.record.get(self.layout.slot(page, task)))
-        };
-        entry_in(of, &self.layout, task)
+        let page = |page: PageId| self.orphans.get(&(job.to_owned(), page));
+        entry_in(page, &self.layout, task)
     }
 
     /// Whether all controllers are of a version that can do what this one can.
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -232,7 +232,8 @@
     replica.put("r/forms", &serde_json::to_string(&forms).unwrap(), 50);
     assert_eq!(count(&replica), before);
     assert_eq!(replica.page_of(30), PageId::Dense(0));
-    let mut page = Page((0..64).map(|t| replica.entry("job-000304", t)).collect());
+    let entries = (0..64).map(|t| replica.entry("job-000304", t).clone());
+    let mut page = Page(entries.collect());
     page.set(63, Entry::Done);
     page.set(0, Entry::Done);
     let text = serde_json::to_string(&page.to_dense()).unwrap();
@@ -243,9 +244,9 @@
     late[69] = Value::from(true);
     replica.put("r/p/job-000304/0", &Value::from(late).to_string(), 52);
     assert_eq!(count(&replica), (before.0 + 2, before.1));
-    assert_eq!(replica.entry("job-000304", 5), Entry::Done);
+    assert_eq!(*replica.entry("job-000304", 5), Entry::Done);
     assert_eq!(
-        replica.entry("job-000304", 65),
+        *replica.entry("job-000304", 65),
         Entry::Waiting { last: 7 },
         "no dense page covers it"
     );
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -135,6 +135,14 @@
         }
     }
 
+    /// Forgets attempts that are recorded here no longer: attempts are never used twice, and on a machine
+    /// that is kept for days they would fill the memory.
+    fn forget_gone(&mut self, recorded: Option<&BTreeSet<TaskId>>) {
+        let is_recorded = |id: &TaskId| recorded.is_some_and(|on| on.contains(id));
+        self.sent.retain(|(id, _)| is_recorded(id));
+        self.seen_since.retain(|id, _| is_recorded(id));
+    }
+
     /// Whether a report is newer than the one held: late copies must not undo it.
     pub fn is_newer(&self, report: &Report) -> bool {
         (report.session, report.seq) > (self.report.session, self.report.seq)
@@ -191,7 +199,7 @@
         let id: TaskId = (job.to_owned(), index);
         let record = replica.jobs.get(job);
         let entry = replica.entry(job, index);
-        let recorded = matches!(&entry, Entry::Placed { attempt, machine, .. }
+        let recorded = matches!(entry, Entry::Placed { attempt, machine, .. }
             if *attempt == task.attempt && *machine == report.machine);
         if recorded {
             reported.insert(id.clone(), task.attempt);
@@ -260,6 +268,7 @@
     );
     live.running_since
         .retain(|id, (attempt, _)| reported.get(id) == Some(attempt));
+    live.forget_gone(replica.on.get(&report.machine));
     out
 }
 
@@ -284,10 +293,9 @@
             continue;
         }
         let record = replica.jobs.get(&id.0);
-        let entry = replica.entry(&id.0, id.1);
         let Entry::Placed {
             attempt, session, ..
-        } = entry
+        } = *replica.entry(&id.0, id.1)
         else {
             continue;
         };
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -264,7 +264,7 @@
     live.report = report.clone();
     // Until an exit is recorded it is reported again; it counts once.
     let new =
-        |core: &Core, id: &super::TaskId| reading.facts.get(id) != Some(&core.entry(&id.0, id.1));
+        |core: &Core, id: &super::TaskId| reading.facts.get(id) != Some(core.entry(&id.0, id.1));
     let mut freed = false;
     for (id, ran) in reading
         .completed
@@ -282,7 +282,7 @@
         }
     }
     for (id, entry) in reading.facts {
-        freed |= core.entry(&id.0, id.1) != entry;
+        freed |= *core.entry(&id.0, id.1) != entry;
         if let Entry::Waiting { last } = &entry {
             // A start planned on top of this exit already says the same.
             if core.entry(&id.0, id.1).last_attempt() > *last {
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -176,3 +176,30 @@
     let ended = json!([{"sack":"job-1/0","turn":1,"stage":"ended","cause":"done"}]);
     insta::assert_snapshot!(trace(&replica, report(1, TOKEN, ended)), @"record job-1/0 Waiting { last: 1 }");
 }
+
+/// What was known of attempts that had ended stayed for as long as their machine did.
+#[test]
+fn a_machine_that_is_kept_for_long_takes_no_more_memory() {
+    let now = Instant::now();
+    let mut live = Live::new(report(1, TOKEN, json!([])), now);
+    let (stops, plans, cancelled) = (Stops::new(), Plans::default(), BTreeSet::new());
+    let pending = Pending {
+        stops: &stops,
+        plans: &plans,
+        cancelled: &cancelled,
+        may_start: true,
+    };
+    let mut largest = 0;
+    for attempt in 1..=100 {
+        let placed = replica(false, json!([[attempt, "vm-1", 1]]));
+        let starts = report(1, TOKEN, json!([]));
+        let reading = read(&starts, &mut live, &placed, TOKEN, &pending, now);
+        assert_eq!(reading.orders, [Order::run("job-1/0", attempt)]);
+        let ended = json!([{"sack":"job-1/0","turn":attempt,"stage":"ended","cause":"stopped"}]);
+        let gone = replica(false, json!([attempt]));
+        let ended = report(1, TOKEN, ended);
+        read(&ended, &mut live, &gone, TOKEN, &pending, now);
+        largest = largest.max(live.sent.len() + live.seen_since.len());
+    }
+    assert!(largest <= 1, "{largest} attempts are remembered");
+}
