--- a/src/main.rs
+++ b/src/main.rs
@@ -14,9 +14,9 @@
 mod policy;
 mod renting;
 mod settings;
-#[cfg(test)]
-mod standins;
 mod state;
+#[cfg(test)]
+mod testing;
 mod workers;
 
 use clap::{Parser, Subcommand};
@@ -137,14 +137,19 @@
     let mesh_listener = bind(settings.mesh_addr).await?;
     let node = Arc::new(node::Node::new(can, settings, policy));
     tracing::info!(incarnation = node.me.incarnation, "starting");
+    start_duties(&node);
+    tokio::spawn(mesh::serve(node.clone(), mesh_listener));
+    api::run(node, api_listener).await;
+    Ok(())
+}
+
+/// Starts all that a controller does of its own accord.
+fn start_duties(node: &Arc<node::Node>) {
     tokio::spawn(state::follow::run(node.clone()));
     tokio::spawn(state::follow::serve_syncs(node.clone()));
     tokio::spawn(pipelines::service::run(node.clone()));
     tokio::spawn(membership::run(node.clone()));
-    tokio::spawn(mesh::serve(node.clone(), mesh_listener));
     tokio::spawn(mesh::ask(node.clone()));
     tokio::spawn(placement::service::run(node.clone()));
     tokio::spawn(renting::service::run(node.clone()));
-    api::run(node, api_listener).await;
-    Ok(())
 }
--- a/src/standins/mod.rs
+++ b/src/testing/mod.rs
@@ -2,7 +2,8 @@
 //! protocol, on loopback; and controllers, each on a thread with its own runtime.
 
 mod cloud;
-mod meetings;
+mod fault_scenarios;
+mod load_profile;
 mod state;
 mod tests;
 
