Refuse new work near the limit on memory

The allocator counts what it has given out. From 0.7 of params.limits.mem_mb on a new submission gets 503 with Retry-After at once, until less than 0.6 is in use; repeats of accepted jobs, polls, cancellations and reports are served as before. Controllers in tests share one process and its count, so their memory is set large; the new test sets it small.

--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -3,7 +3,7 @@
 use super::{Answer, Server, come_back, error, json};
 use crate::jobs::{Final, JobRecord, JobSpec, SpecError, Stage, Stored, Submission, is_job_id};
 use crate::membership;
-use crate::metrics::Duty;
+use crate::metrics::{Duty, memory};
 use crate::node::{Core, Node, wall_ms};
 use crate::pipelines::service::{CANCELLED, look_up_needs};
 use crate::placement::views::{kinds_for, room_of};
@@ -177,9 +177,11 @@
         released_ms: None,
     };
     let verdict = judge(node, &record.spec, &awaits);
-    let verdict = match fits(node, &record, &awaits) {
-        true => verdict,
-        false => Verdict::TooLarge,
+    let verdict = match (verdict, fits(node, &record, &awaits)) {
+        (_, false) => Verdict::TooLarge,
+        // A process that ends for memory takes all its machines' answers with it.
+        (Verdict::Takes, _) if node.memory.is_short(memory::allocated()) => Verdict::NoMemory,
+        (verdict, true) => verdict,
     };
     if seems_known || verdict != Verdict::Takes {
         match look_up(node, &id).await {
@@ -200,6 +202,10 @@
         Verdict::Undecided => {
             return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "no catalogue yet");
         }
+        Verdict::NoMemory => {
+            let reason = "too little memory for more work";
+            return come_back(StatusCode::SERVICE_UNAVAILABLE, 2, reason);
+        }
         Verdict::NotYet => {
             let reason = "jobs that wait for others are taken once all controllers can";
             return come_back(StatusCode::SERVICE_UNAVAILABLE, 3, reason);
@@ -360,6 +366,7 @@
     Never(&'static str),
     TooLarge,
     Undecided,
+    NoMemory,
     NotYet,
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,6 +25,9 @@
 use std::sync::Arc;
 use tokio::net::TcpListener;
 
+#[global_allocator]
+static ALLOCATOR: metrics::memory::CountingAllocator = metrics::memory::CountingAllocator;
+
 #[derive(Parser)]
 #[command(version, about)]
 struct Cli {
--- /dev/null
+++ b/src/metrics/memory/tests.rs
@@ -0,0 +1,48 @@
+use super::*;
+use std::fmt::Write;
+
+#[test]
+fn memory_is_short_from_the_upper_bound_until_the_lower_one() {
+    let pressure = MemoryPressure::new(46.0);
+    let mut trace = String::new();
+    for megabytes in [10, 32, 33, 31, 28, 27, 32, 40, 27, 10] {
+        let is_short = pressure.is_short(megabytes * 1_000_000);
+        writeln!(
+            trace,
+            "{megabytes} of 46 MB: {}",
+            if is_short { "short" } else { "enough" }
+        )
+        .unwrap();
+    }
+    insta::assert_snapshot!(trace, @r"
+    10 of 46 MB: enough
+    32 of 46 MB: enough
+    33 of 46 MB: short
+    31 of 46 MB: short
+    28 of 46 MB: short
+    27 of 46 MB: enough
+    32 of 46 MB: enough
+    40 of 46 MB: short
+    27 of 46 MB: enough
+    10 of 46 MB: enough
+    ");
+}
+
+/// A count that drifted would one day refuse all work, or none.
+#[test]
+fn what_is_given_back_is_counted_off() {
+    const BLOCK: usize = 64 << 20;
+    let before = allocated();
+    let block: Vec<u8> = Vec::with_capacity(BLOCK);
+    assert!(
+        allocated() >= before + BLOCK / 2,
+        "{before} -> {}",
+        allocated()
+    );
+    drop(block);
+    assert!(
+        allocated() < before + BLOCK / 2,
+        "{before} -> {}",
+        allocated()
+    );
+}
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! Counters of what a period cost this controller, logged at the end of each period.
 
+pub mod memory;
 pub mod processor_time;
 
 use crate::jobs::Entry;
@@ -129,6 +130,7 @@
         owned = core.workers.owned.len(),
         machines = core.replica.fleet.machines.len(),
         jobs = core.replica.jobs.len(),
+        allocated = memory::allocated(),
         "counts"
     );
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
 use crate::membership::Standing;
 use crate::membership::shares::Member;
 use crate::mesh::vouch::Heard;
+use crate::metrics::memory::MemoryPressure;
 use crate::metrics::{Metrics, ProcessorTime};
 use crate::placement::cache::Cache;
 use crate::policy::Policy;
@@ -56,6 +57,7 @@
     ticks: watch::Sender<(u64, u64)>,
     heard: Mutex<Heard>,
     pub processor_time: ProcessorTime,
+    pub memory: MemoryPressure,
 }
 
 /// For so long no other controller has answered, each asked once a second.
@@ -83,6 +85,7 @@
             ticks: watch::Sender::new((0, 0)),
             heard: Mutex::default(),
             processor_time: ProcessorTime::default(),
+            memory: MemoryPressure::new(settings.params.limits.mem_mb),
             settings,
             policy,
         }
--- a/src/testing/fault_scenarios.rs
+++ b/src/testing/fault_scenarios.rs
@@ -156,6 +156,35 @@
     }
 }
 
+/// A process that ends for memory takes the answers to its machines with it. New work is refused before
+/// that, and nothing else is.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_controller_that_is_short_of_memory_refuses_new_work_alone() {
+    let site = Site::new(2, Duration::from_millis(300)).await;
+    let _roomy = site.start(0).await;
+    let short = Version {
+        memory_mb: 0.1,
+        ..PRESENT
+    };
+    let _short = site.start_as(short, 1);
+    let healthy = async || site.get(1, "/healthz").await.0 == 200;
+    until("the controller without memory is healthy", healthy).await;
+    site.submit(0, &job("job-1", 2, 1.0)).await;
+    let (status, told) = site.post(1, "/v1/jobs", job("job-2", 2, 1.0)).await;
+    let reason = json!("too little memory for more work");
+    assert_eq!((status, &told["error"]), (503, &reason));
+    let (status, _) = site.post(1, "/v1/jobs", job("job-1", 2, 1.0)).await;
+    assert_eq!(status, 200, "a repeat of what another accepted");
+    let (status, _) = site.post(1, "/v1/jobs", json!({"nameId": "job-3"})).await;
+    assert_eq!(status, 400, "what can never be accepted");
+    let done = async || site.stage(1, "job-1").await == "done";
+    until("its machines are answered and its users told", done).await;
+    site.submit(0, &job("job-4", 500, 1.0)).await;
+    let (status, told) = site.post(1, "/v1/jobs/job-4/abort", Value::Null).await;
+    assert_eq!((status, &told["stage"]), (200, &json!("cancelled")));
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
+
 /// Rules `forgotten`, `went_back` and `invented`: what can never run is refused and says why, and
 /// what was accepted is known whatever a repeat of its submission looks like by then.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/src/testing/mod.rs
+++ b/src/testing/mod.rs
@@ -97,6 +97,8 @@
     value_kb: f64,
     next: Option<(f64, usize, f64)>,
     times: Times,
+    /// All controllers of a test share one process and its memory.
+    memory_mb: f64,
 }
 
 /// How long a worker's lease holds, and how long a cancelled job's tasks may stay.
@@ -126,6 +128,7 @@
     value_kb: 8.0,
     next: None,
     times: USUAL,
+    memory_mb: 10_000.0,
 };
 
 impl Controller {
@@ -158,7 +161,7 @@
                 "state": {"rps": 1000.0, "write_rps": 500.0, "value_kb": version.value_kb,
                     "txn_ops": 24, "next": next},
                 "cloud": {"rps": 50.0, "list_lag_s": 1.0},
-                "limits": {"core_share": 1.0, "mem_mb": 100.0, "sockets": 500},
+                "limits": {"core_share": 1.0, "mem_mb": version.memory_mb, "sockets": 500},
                 "skew_ms": 25.0}});
         let settings = crate::settings::Settings::parse(&settings.to_string(), "test").unwrap();
         let (stop, stopped) = oneshot::channel();
