--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -10,6 +10,7 @@
 use crate::state::Replica;
 use crate::state::replica::Job;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
@@ -40,7 +41,7 @@
 /// owner from reports.
 #[derive(Debug)]
 pub struct Live {
-    pub report: Report,
+    pub report: Arc<Report>,
     /// When it last reported with our token: a copy of a report from before our ownership is no
     /// sign of life, and neither are reports of a machine that never got an answer of ours.
     pub heard: Instant,
@@ -71,7 +72,7 @@
 }
 
 impl Live {
-    pub fn new(report: Report, now: Instant) -> Self {
+    pub fn new(report: Arc<Report>, now: Instant) -> Self {
         Self {
             report,
             heard: now,
@@ -92,6 +93,9 @@
 
     /// Notes that the machine uses an image; the least recently used ones give way.
     pub fn use_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        if self.images.last().is_some_and(|(last, _)| last == image) {
+            return;
+        }
         self.images.retain(|(name, _)| name != image);
         self.images.push((image.to_owned(), gb));
         while self.images.len() > 1 && self.images.iter().map(|i| i.1).sum::<f64>() > cache_gb {
@@ -191,7 +195,7 @@
     now: Instant,
 ) -> Reading {
     let mut out = Reading::default();
-    let mut reported: HashMap<TaskId, u64> = HashMap::new();
+    let mut reported: HashMap<(&str, u32), u64> = HashMap::new();
     for task in &report.tasks {
         let Some((job, index)) = split_task(&task.task) else {
             continue;
@@ -202,7 +206,7 @@
         let recorded = matches!(entry, Entry::Placed { attempt, machine, .. }
             if *attempt == task.attempt && *machine == report.machine);
         if recorded {
-            reported.insert(id.clone(), task.attempt);
+            reported.insert((job, index), task.attempt);
         }
         match task.state {
             TaskState::Ended => {
@@ -237,22 +241,9 @@
                     out.orders.push(Order::stop(&task.task, task.attempt, 0.0));
                     continue;
                 }
-                live.seen_since
-                    .entry(id.clone())
-                    .and_modify(|seen| {
-                        if seen.0 != task.attempt {
-                            *seen = (task.attempt, now);
-                        }
-                    })
-                    .or_insert((task.attempt, now));
+                note_attempt(&mut live.seen_since, &id, task.attempt, now);
                 if state == TaskState::Running {
-                    let since = live
-                        .running_since
-                        .entry(id.clone())
-                        .or_insert((task.attempt, now));
-                    if since.0 != task.attempt {
-                        *since = (task.attempt, now);
-                    }
+                    note_attempt(&mut live.running_since, &id, task.attempt, now);
                 }
                 if state != TaskState::Flushing
                     && let Some(grace) = pending.stops.get(&(id, task.attempt))
@@ -267,11 +258,28 @@
         report, live, replica, token, pending, now, &reported, &mut out,
     );
     live.running_since
-        .retain(|id, (attempt, _)| reported.get(id) == Some(attempt));
+        .retain(|id, (attempt, _)| reported.get(&(id.0.as_str(), id.1)) == Some(attempt));
     live.forget_gone(replica.on.get(&report.machine));
     out
 }
 
+/// Notes when an attempt was first seen. Most reports repeat what is noted, so that a key is made only
+/// for what is new.
+fn note_attempt(
+    first_seen: &mut HashMap<TaskId, (u64, Instant)>,
+    id: &TaskId,
+    attempt: u64,
+    now: Instant,
+) {
+    match first_seen.get_mut(id) {
+        Some(seen) if seen.0 == attempt => {}
+        Some(seen) => *seen = (attempt, now),
+        None => {
+            first_seen.insert(id.clone(), (attempt, now));
+        }
+    }
+}
+
 /// Tasks that the records place here and the report does not name: not begun, or gone.
 #[allow(clippy::too_many_arguments)]
 fn read_absences(
@@ -281,7 +289,7 @@
     token: u64,
     pending: &Pending,
     now: Instant,
-    reported: &HashMap<TaskId, u64>,
+    reported: &HashMap<(&str, u32), u64>,
     out: &mut Reading,
 ) {
     let before = std::mem::take(&mut live.unseen);
@@ -289,7 +297,7 @@
         return;
     };
     for id in on {
-        if reported.contains_key(id) {
+        if reported.contains_key(&(id.0.as_str(), id.1)) {
             continue;
         }
         let record = replica.jobs.get(&id.0);
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -29,8 +29,8 @@
 }
 
 pub async fn hello(node: &Arc<Node>, body: &[u8]) -> Answer {
-    let report: Report = match decode(node, body) {
-        Ok(report) => report,
+    let report = match decode(node, body) {
+        Ok(report) => Arc::new(report),
         Err(problem) => return error(StatusCode::BAD_REQUEST, &problem.to_string()),
     };
     let owner = {
@@ -208,7 +208,7 @@
 }
 
 /// Reads an owned machine's report into what is known and planned, and answers it.
-fn take(node: &Node, core: &mut Core, report: &Report, now: Instant) -> Taken {
+fn take(node: &Node, core: &mut Core, report: &Arc<Report>, now: Instant) -> Taken {
     let _charge = node.processor_time.charge(Duty::Reports);
     let name = report.machine.clone();
     core.note_owner(&node.me, &name, now);
--- a/src/workers/service/tests.rs
+++ b/src/workers/service/tests.rs
@@ -105,7 +105,7 @@
         // Without contact they were read longer ago than starts may go by.
         let age = if self.contact { 0 } else { 4 };
         core.proof = now.checked_sub(Duration::from_secs(age));
-        let taken = take(&self.node, &mut core, &report, now);
+        let taken = take(&self.node, &mut core, &Arc::new(report), now);
         let what = match taken {
             Taken::NotOurs => "not ours".to_owned(),
             Taken::Late => "late, changes nothing".to_owned(),
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -41,7 +41,7 @@
 
 fn trace_with(replica: &Replica, report: Report, stops: &Stops, plans: &Plans) -> String {
     let now = Instant::now();
-    let mut live = Live::new(report.clone(), now);
+    let mut live = Live::new(Arc::new(report.clone()), now);
     let pending = Pending {
         stops,
         plans,
@@ -181,7 +181,7 @@
 #[test]
 fn a_machine_that_is_kept_for_long_takes_no_more_memory() {
     let now = Instant::now();
-    let mut live = Live::new(report(1, TOKEN, json!([])), now);
+    let mut live = Live::new(Arc::new(report(1, TOKEN, json!([]))), now);
     let (stops, plans, cancelled) = (Stops::new(), Plans::default(), BTreeSet::new());
     let pending = Pending {
         stops: &stops,
