--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -149,7 +149,7 @@
     let blind = Duration::from_millis(3500);
     let ready = node.core().loaded && !node.core().kinds.is_empty();
     if !node.has_state(blind) || !ready {
-        let others = node.heard().have_state;
+        let others = node.peer_status().have_state;
         let others_have = others.is_some_and(|at| at.elapsed() < Duration::from_secs(3));
         if others_have || node.core().proof.is_none() {
             return come_back(StatusCode::SERVICE_UNAVAILABLE, 2, "no state service");
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -68,13 +68,13 @@
     Some(Known::Live(job.stage(), job.done, job.placed))
 }
 
-async fn look_up(node: &Arc<Node>, id: &str) -> Known {
+async fn current_state(node: &Arc<Node>, id: &str) -> Known {
     // A final state never changes, so that memory may answer it at any time.
     if let Some(last) = node.core().replica.ended(id) {
         return Known::Over(last);
     }
     // Nor does a cancellation that another node confirmed, whether it is in the records here or not.
-    if node.heard().cancelled.contains(id) {
+    if node.peer_status().cancelled.contains(id) {
         return Known::Live(Stage::Cancelled, 0, 0);
     }
     if !node.has_state(OUT) || !node.sync().await {
@@ -126,7 +126,7 @@
     let Some(_permit) = server.limit.enter(0.9) else {
         return busy();
     };
-    match look_up(node, id).await {
+    match current_state(node, id).await {
         Known::Live(stage, done, placed) => json(
             StatusCode::OK,
             &Told {
@@ -176,7 +176,7 @@
         placer: None,
         released_ms: None,
     };
-    let verdict = judge(node, &record.spec, &awaits);
+    let verdict = check_acceptance(node, &record.spec, &awaits);
     let verdict = match (verdict, fits(node, &record, &awaits)) {
         (_, false) => Verdict::TooLarge,
         // A process that ends for memory takes all its machines' answers with it.
@@ -184,7 +184,7 @@
         (verdict, true) => verdict,
     };
     if seems_known || verdict != Verdict::Takes {
-        match look_up(node, &id).await {
+        match current_state(node, &id).await {
             Known::Live(stage, ..) => return json(StatusCode::OK, &told(&id, stage)),
             Known::Over(last) => return json(StatusCode::OK, &told(&id, last.into())),
             Known::Unclear => return no_state(),
@@ -235,11 +235,8 @@
     let (put, stage) = match before {
         Before::Done => (Op::set(job_key(&id), &Stored::Open(record)), Stage::Queued),
         Before::Open => {
-            let held = Stored::Held {
-                held: record,
-                awaits,
-            };
-            (Op::set(job_key(&id), &held), Stage::Queued)
+            let blocked = Stored::Blocked { record, awaits };
+            (Op::set(job_key(&id), &blocked), Stage::Queued)
         }
         // It needs a cancelled job, and so it is over: taken all the same.
         Before::Cancelled => (Op::set(final_key(&id), &Final::Cancelled), Stage::Cancelled),
@@ -256,10 +253,10 @@
                 _ => core.apply(vec![put], ledger),
             }
             drop(core);
-            node.stirred.notify_one();
+            node.wake_up.notify_one();
             json(StatusCode::CREATED, &told(&id, stage))
         }
-        Err(TxnError::Conflict(_)) => match look_up(node, &id).await {
+        Err(TxnError::Conflict(_)) => match current_state(node, &id).await {
             Known::Live(stage, ..) => json(StatusCode::OK, &told(&id, stage)),
             Known::Over(last) => json(StatusCode::OK, &told(&id, last.into())),
             Known::Never | Known::Unclear => no_state(),
@@ -278,7 +275,7 @@
     let Some(_permit) = server.limit.enter(0.8) else {
         return busy();
     };
-    match look_up(&server.node, &id).await {
+    match current_state(&server.node, &id).await {
         Known::Live(stage, ..) => json(StatusCode::OK, &told(&id, stage)),
         Known::Over(last) => json(StatusCode::OK, &told(&id, last.into())),
         Known::Unclear => no_state(),
@@ -349,11 +346,11 @@
 
 /// Whether a job's record fits a value for as long as it is kept, whichever limit holds by then.
 fn fits(node: &Node, record: &JobRecord, awaits: &[String]) -> bool {
-    let held = Stored::Held {
-        held: record.clone(),
+    let blocked = Stored::Blocked {
+        record: record.clone(),
         awaits: awaits.to_vec(),
     };
-    let bytes = serde_json::to_vec(&held).map_or(usize::MAX, |text| text.len());
+    let bytes = serde_json::to_vec(&blocked).map_or(usize::MAX, |text| text.len());
     bytes + MORE_BYTES <= node.settings.value_bytes()
 }
 
@@ -370,7 +367,7 @@
     NotYet,
 }
 
-fn judge(node: &Node, spec: &JobSpec, awaits: &[String]) -> Verdict {
+fn check_acceptance(node: &Node, spec: &JobSpec, awaits: &[String]) -> Verdict {
     let _charge = node.processor_time.charge(Duty::Users);
     if awaits.contains(&spec.id) {
         return Verdict::Never("`awaits` names the job itself");
@@ -426,7 +423,7 @@
         return busy();
     };
     for _ in 0..4 {
-        match look_up(node, id).await {
+        match current_state(node, id).await {
             Known::Over(last) => return json(StatusCode::OK, &told(id, last.into())),
             Known::Live(Stage::Cancelled, ..) => {
                 return json(StatusCode::OK, &told(id, Stage::Cancelled));
@@ -455,7 +452,7 @@
         match node.state.transact(&guards, &ops).await {
             Ok(ledger) => {
                 node.core().apply(ops, ledger);
-                node.stirred.notify_one();
+                node.wake_up.notify_one();
                 return json(StatusCode::OK, &told(id, Stage::Cancelled));
             }
             // It changed under us: perhaps it is done by now.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,8 +2,8 @@
 //! of each of its machines. So a thousand boots or a takeover cost a put per rental rather than
 //! one per machine, and a page's guards name rentals, of which there are few.
 
-use crate::membership::shares::Member;
-use crate::state::replica::Kept;
+use crate::membership::assignment::Member;
+use crate::state::replica::Versioned;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
@@ -131,7 +131,11 @@
 /// A rental's record as it is to be written, in as many parts as its size asks for: one that was written
 /// under a higher limit would be refused for ever, and its machines never change hands again. The first
 /// part keeps the name and mark; the others are new, under names that the mark makes unique.
-pub fn in_parts(name: &str, kept: Kept<Rental>, value_bytes: usize) -> Vec<(String, Kept<Rental>)> {
+pub fn in_parts(
+    name: &str,
+    kept: Versioned<Rental>,
+    value_bytes: usize,
+) -> Vec<(String, Versioned<Rental>)> {
     let fits = |rental: &Rental| {
         let text = serde_json::to_vec(rental);
         text.is_ok_and(|text| text.len() <= value_bytes)
@@ -156,14 +160,14 @@
             let part = |(at, record): (usize, Rental)| match at {
                 0 => (
                     name.to_owned(),
-                    Kept {
+                    Versioned {
                         record,
                         mark: kept.mark,
                     },
                 ),
                 at => (
                     format!("{name}.{}-{at}", kept.mark),
-                    Kept { record, mark: 0 },
+                    Versioned { record, mark: 0 },
                 ),
             };
             return cut.into_iter().enumerate().map(part).collect();
@@ -189,7 +193,7 @@
 
 #[derive(Debug, Default)]
 pub struct Fleet {
-    pub rentals: BTreeMap<String, Kept<Rental>>,
+    pub rentals: BTreeMap<String, Versioned<Rental>>,
     pub machines: BTreeMap<String, Machine>,
     /// Machines whose record was dropped of late: lists and late reports may still name them.
     gone: HashSet<String>,
@@ -226,7 +230,8 @@
                 self.changed.push(machine.name.clone());
             }
         }
-        self.rentals.insert(name.to_owned(), Kept { record, mark });
+        self.rentals
+            .insert(name.to_owned(), Versioned { record, mark });
     }
 
     pub fn remove(&mut self, name: &str, mark: u64) {
@@ -297,8 +302,8 @@
         &self,
         machines: impl IntoIterator<Item = &'a str>,
         mut change: impl FnMut(&mut Rented) -> bool,
-    ) -> BTreeMap<String, Kept<Rental>> {
-        let mut out: BTreeMap<String, Kept<Rental>> = BTreeMap::new();
+    ) -> BTreeMap<String, Versioned<Rental>> {
+        let mut out: BTreeMap<String, Versioned<Rental>> = BTreeMap::new();
         for name in machines {
             let Some(machine) = self.machines.get(name) else {
                 continue;
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -75,7 +75,7 @@
 fn a_rental_that_is_too_large_is_written_in_parts() {
     let mut old = rental(50, 9);
     old.open = false;
-    let kept = Kept {
+    let kept = Versioned {
         record: old.clone(),
         mark: 7,
     };
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -1,8 +1,8 @@
 //! Jobs as users describe them, and the durable records kept of them.
 
-pub mod learned;
 pub mod pages;
 pub mod plans;
+pub mod runtime_estimate;
 pub mod spec;
 pub mod writer;
 
@@ -56,14 +56,17 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Stored {
-    Held {
-        held: JobRecord,
+    /// It waits for other jobs.
+    Blocked {
+        #[serde(rename = "held")]
+        record: JobRecord,
         awaits: Vec<String>,
     },
     Open(JobRecord),
     /// It ended, and is yet to be moved to its final key: where changes are short that waits.
-    Over {
-        over: Final,
+    Finished {
+        #[serde(rename = "over")]
+        outcome: Final,
     },
 }
 
--- a/src/jobs/learned.rs
+++ b/src/jobs/runtime_estimate.rs
@@ -5,13 +5,13 @@
 
 /// Run times of a class: actual over the owner's estimate, as mean and deviation.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Learned {
+pub struct RuntimeEstimate {
     pub count: f64,
     mean: f64,
     m2: f64,
 }
 
-impl Learned {
+impl RuntimeEstimate {
     pub fn add(&mut self, ratio: f64) {
         self.count += 1.0;
         let delta = ratio - self.mean;
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -5,14 +5,15 @@
 use super::plans::Changes;
 use super::{Entry, Final, Page, PageId, Stored};
 use crate::fleet::Use;
-use crate::membership::shares::Member;
+use crate::membership::assignment::Member;
 use crate::metrics::Duty;
 use crate::node::{Core, Node};
 use crate::pipelines;
 use crate::state::budget::Need;
 use crate::state::replica::Job;
 use crate::state::{
-    FORMS_KEY, Guard, MOST_BYTES, Op, Replica, SHARES_KEY, TxnError, final_key, job_key, page_key,
+    ASSIGNMENT_KEY, FORMS_KEY, Guard, MOST_BYTES, Op, Replica, TxnError, final_key, job_key,
+    page_key,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -130,8 +131,10 @@
                 mark: ended.mark,
             });
             if short {
-                let over = Stored::Over { over: ended.last };
-                ops.push(Op::set(job_key(&ended.id), &over));
+                let finished = Stored::Finished {
+                    outcome: ended.last,
+                };
+                ops.push(Op::set(job_key(&ended.id), &finished));
                 count += 1;
                 continue;
             }
@@ -379,7 +382,7 @@
         let before = page.get(slot);
         // Another controller may have recorded the same exit, and the task's next start, since
         // this was planned.
-        if !applies(&before, entry) {
+        if !applies(before, entry) {
             continue;
         }
         let mut needed = Vec::new();
@@ -434,9 +437,9 @@
     ];
     if starts {
         // The job may have gone to another controller, which places it from then on.
-        let mark = core.replica.shares.as_ref().map_or(0, |s| s.mark);
+        let mark = core.replica.assignment.as_ref().map_or(0, |s| s.mark);
         guards.push(Guard {
-            k: SHARES_KEY.into(),
+            k: ASSIGNMENT_KEY.into(),
             mark,
         });
     }
@@ -532,7 +535,7 @@
         };
         let starts = changes.iter().filter(|(_, e)| is_placed(e));
         let starts: Vec<u32> = starts.map(|(task, _)| *task).collect();
-        if !starts.is_empty() && !(0..spec.tasks).all(|t| is_placed(&core.entry(id, t))) {
+        if !starts.is_empty() && !(0..spec.tasks).all(|t| is_placed(core.entry(id, t))) {
             broken.extend(starts.into_iter().map(|task| (id.clone(), task)));
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -122,7 +122,7 @@
 
 /// One controller, until its runtime ends.
 async fn run(settings: settings::Settings, policy: policy::Policy) -> Result<(), String> {
-    run_as(membership::forms::CAN, settings, policy).await
+    run_as(membership::schema_versions::CAN, settings, policy).await
 }
 
 /// `can` is what it says that its version can do.
--- a/src/membership/shares.rs
+++ b/src/membership/assignment.rs
@@ -20,7 +20,7 @@
 /// The leader's record of who places which jobs. Controllers are named by their place in
 /// `members`.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct Shares {
+pub struct Assignment {
     pub members: Vec<Member>,
     /// Teams with a limit, each whole.
     pub teams: BTreeMap<String, usize>,
@@ -47,7 +47,7 @@
     (hash >> 20) as usize
 }
 
-impl Shares {
+impl Assignment {
     /// The controller that places a job and ends it.
     pub fn owner(&self, job: &JobRecord) -> Option<&Member> {
         let spec = &job.spec;
@@ -84,9 +84,14 @@
 
 /// Parts the work among those present. What belongs to a controller that is still there stays as
 /// far as its part allows; it is only done anew when controllers come or go.
-pub fn part_jobs(present: &BTreeSet<Member>, leader: &Member, old: &Shares, work: &Work) -> Shares {
+pub fn part_jobs(
+    present: &BTreeSet<Member>,
+    leader: &Member,
+    old: &Assignment,
+    work: &Work,
+) -> Assignment {
     if present.is_empty() {
-        return Shares::default();
+        return Assignment::default();
     }
     let members: Vec<Member> = present.iter().cloned().collect();
     let gangs_are_new = work.gangs && !old.had_gangs;
@@ -96,10 +101,10 @@
     {
         return old.clone();
     }
-    let mut shares = Shares {
+    let mut shares = Assignment {
         members,
         had_gangs: work.gangs || old.had_gangs,
-        ..Shares::default()
+        ..Assignment::default()
     };
     let count = shares.members.len();
     let still = |at: usize| old.members.get(at).and_then(|m| shares.at(m));
--- a/src/membership/shares/tests.rs
+++ b/src/membership/assignment/tests.rs
@@ -14,7 +14,7 @@
     }
 }
 
-fn show(shares: &Shares) -> String {
+fn show(shares: &Assignment) -> String {
     let mut text = String::new();
     for (at, member) in shares.members.iter().enumerate() {
         let slots = shares.slots.iter().filter(|s| **s == at).count();
@@ -42,7 +42,7 @@
     };
     let a = member("a", 1);
     let three: BTreeSet<Member> = ["a", "b", "c"].map(|n| member(n, 1)).into();
-    let first = part_jobs(&three, &a, &Shares::default(), &work);
+    let first = part_jobs(&three, &a, &Assignment::default(), &work);
     let two: BTreeSet<Member> = [member("a", 1), member("b", 1)].into();
     let after_end = part_jobs(&two, &a, &first, &work);
     // c is back within a moment: another incarnation, which owns nothing by right.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,9 +1,9 @@
 //! Who is there and who leads: a leased presence key for each node, a leased key for the leader,
 //! and the takeover of every machine by a new leader.
 
-pub mod forms;
+pub mod assignment;
 pub mod probe;
-pub mod shares;
+pub mod schema_versions;
 
 use crate::fleet::{Rental, in_parts};
 use crate::jobs::JobRecord;
@@ -12,12 +12,12 @@
 use crate::placement::views::{due_after, kinds_for, room_of, urgency_of};
 use crate::placement::{By, Need};
 use crate::state::budget::Need as Budget;
-use crate::state::replica::{Kept, LeaderRecord, PresenceRecord};
+use crate::state::replica::{LeaderRecord, PresenceRecord, Versioned};
 use crate::state::{
-    Guard, LEADER_KEY, Op, SHARES_KEY, TxnError, client::ReadError, presence_key, rental_key,
+    ASSIGNMENT_KEY, Guard, LEADER_KEY, Op, TxnError, client::ReadError, presence_key, rental_key,
 };
+use assignment::{Assignment, Demand, Member, Shared, Wanted, Work, part_jobs, part_machines};
 use probe::Probe;
-use shares::{Demand, Member, Shared, Shares, Wanted, Work, part_jobs, part_machines};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -79,7 +79,7 @@
             Ok(()) => {
                 if announce(node, lease).await {
                     campaign(node, lease).await;
-                    forms::keep(node).await;
+                    schema_versions::keep(node).await;
                 }
             }
             Err(_) => {}
@@ -232,7 +232,7 @@
 
 /// What the leader has to change so that everything belongs to someone who is there.
 struct Change {
-    shares: Option<(Shares, u64)>,
+    shares: Option<(Assignment, u64)>,
     machines: Vec<(String, Member)>,
 }
 
@@ -258,7 +258,11 @@
 }
 
 /// Machines that each controller's work would fill, and what its limited teams would.
-pub fn demand(node: &Node, core: &Core, shares: &Shares) -> (Demand, BTreeMap<String, f64>, bool) {
+pub fn demand(
+    node: &Node,
+    core: &Core,
+    shares: &Assignment,
+) -> (Demand, BTreeMap<String, f64>, bool) {
     let now_ms = wall_ms();
     let mut demand = Demand::new();
     let teams = node.settings.params.teams.iter();
@@ -307,7 +311,7 @@
 const SPOKEN_FOR: Duration = Duration::from_millis(500);
 
 impl Spoken {
-    fn new(node: &Node, core: &Core, shares: &Shares, shares_mark: u64) -> Self {
+    fn new(node: &Node, core: &Core, shares: &Assignment, shares_mark: u64) -> Self {
         let (demand, ..) = demand(node, core, shares);
         let all = |levels: BTreeMap<_, Wanted>| levels.values().map(|w| w.any + w.ordinary).sum();
         let mut room: BTreeMap<(Member, String, bool), f64> = BTreeMap::new();
@@ -345,7 +349,7 @@
 /// spoken for. Where a gang's controller has machines to spare, arrays fill them.
 pub fn choose_placer(node: &Node, core: &mut Core, record: &JobRecord) -> Option<String> {
     let spec = &record.spec;
-    let kept = core.replica.shares.as_ref()?;
+    let kept = core.replica.assignment.as_ref()?;
     if !kept.record.may_choose(spec) {
         return None;
     }
@@ -369,8 +373,8 @@
 fn wanted_change(node: &Node, core: &Core, settled: bool) -> Change {
     let replica = &core.replica;
     let present = replica.present();
-    let old = replica.shares.as_ref();
-    let none = Shares::default();
+    let old = replica.assignment.as_ref();
+    let none = Assignment::default();
     let before = old.map_or(&none, |s| &s.record);
     let (_, limited, gangs) = demand(node, core, before);
     let work = Work {
@@ -417,14 +421,14 @@
 /// The leader's duty: everything belongs to a controller that is there, and machines follow the
 /// work. A machine that changes hands has a higher token, so that whatever its old owner still
 /// sends fails on its guards, and the worker drops the old owner's answers.
-pub async fn share_out(node: &Arc<Node>, mark: u64) {
+pub async fn assign_work(node: &Arc<Node>, mark: u64) {
     let change = {
         let _charge = node.processor_time.charge(Duty::Renting);
         let mut core = node.core();
         let present = core.replica.present();
         let fleet = &core.replica.fleet.machines;
         let orphaned = present != core.standing.shared_among
-            || core.replica.shares.is_none()
+            || core.replica.assignment.is_none()
             || fleet.values().any(|m| !present.contains(&m.owner));
         // Records of machines that follow the work take the place of starts where puts are short.
         let every = match node.state.writes_at_ease() < 0.5 {
@@ -451,10 +455,10 @@
     }];
     if let Some((shares, mark)) = &change.shares {
         guards.push(Guard {
-            k: SHARES_KEY.into(),
+            k: ASSIGNMENT_KEY.into(),
             mark: *mark,
         });
-        ops.push(Op::set(SHARES_KEY.into(), shares));
+        ops.push(Op::set(ASSIGNMENT_KEY.into(), shares));
     }
     let most = node.settings.txn_ops() - 1;
     let owners: BTreeMap<&str, &Member> = change
@@ -484,8 +488,9 @@
         let before = ops.len();
         for (name, kept) in changed {
             let parts = in_parts(&name, kept, node.settings.value_bytes());
-            let set =
-                |(name, kept): &(String, Kept<Rental>)| Op::set(rental_key(name), &kept.record);
+            let set = |(name, kept): &(String, Versioned<Rental>)| {
+                Op::set(rental_key(name), &kept.record)
+            };
             let new: Vec<Op> = parts.iter().map(set).collect();
             bytes += new.iter().map(Op::bytes).sum::<usize>();
             let left = most.saturating_sub(ops.len() - before);
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -25,7 +25,7 @@
 impl Probe {
     /// Whether a worker that reports now is sent on. `alone`: this node has lost both the state
     /// service and the others, and its presence is over.
-    pub fn sends_on(&mut self, machine: &str, alone: bool, now: Instant) -> bool {
+    pub fn redirects(&mut self, machine: &str, alone: bool, now: Instant) -> bool {
         if !alone {
             *self = Self::default();
             return false;
--- a/src/membership/probe/tests.rs
+++ b/src/membership/probe/tests.rs
@@ -6,7 +6,7 @@
     let start = Instant::now();
     let mut trace = String::new();
     let mut say = |probe: &mut Probe, at: u64, machine: &str, alone: bool| {
-        let sent_on = probe.sends_on(machine, alone, start + Duration::from_secs(at));
+        let sent_on = probe.redirects(machine, alone, start + Duration::from_secs(at));
         let what = if sent_on { "sent on" } else { "answered" };
         trace.push_str(&format!("{at} s {machine} {what}\n"));
     };
--- a/src/membership/forms.rs
+++ b/src/membership/schema_versions.rs
@@ -15,7 +15,7 @@
 
 /// Who has been seen to be of this version, and whether all have.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct Forms {
+pub struct SchemaVersions {
     pub seen: BTreeSet<String>,
     /// How jobs are divided into pages, from the beginning on: it must not change with the settings
     /// while there are pages.
@@ -23,7 +23,7 @@
     pub layout: Option<Layout>,
 }
 
-impl Forms {
+impl SchemaVersions {
     pub fn begun(&self) -> bool {
         self.layout.is_some()
     }
@@ -32,9 +32,9 @@
 /// The record as it should be, if that is not what is there. A node that is absent counts as last
 /// seen: one of this version is not put back to the one before once the new forms have begun, and
 /// before that its presence tells.
-pub fn wanted(members: &[&str], layout: &Layout, replica: &Replica) -> Option<Forms> {
+pub fn wanted(members: &[&str], layout: &Layout, replica: &Replica) -> Option<SchemaVersions> {
     let before = replica.forms.as_ref().map(|f| &f.record);
-    if before.is_some_and(Forms::begun) {
+    if before.is_some_and(SchemaVersions::begun) {
         return None;
     }
     let mut forms = before.cloned().unwrap_or_default();
--- a/src/membership/forms/tests.rs
+++ b/src/membership/schema_versions/tests.rs
@@ -1,15 +1,15 @@
 use super::*;
 use crate::jobs::pages::tests::wide;
-use crate::state::replica::{Kept, PresenceRecord};
+use crate::state::replica::{PresenceRecord, Versioned};
 
-fn presence(incarnation: u64, forms: u32) -> Kept<PresenceRecord> {
+fn presence(incarnation: u64, forms: u32) -> Versioned<PresenceRecord> {
     let record = PresenceRecord {
         incarnation,
         lease: 1,
         forms,
     };
     let mark = incarnation;
-    Kept { record, mark }
+    Versioned { record, mark }
 }
 
 /// Rule `too_early`: a node of the version before runs a job that waits as soon as it sees it. So
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -18,7 +18,7 @@
             "cloud": {"rps": 8.0, "list_lag_s": 4.0},
             "limits": {"core_share": 1.0, "mem_mb": 72.0, "sockets": 500}, "skew_ms": 25.0}});
     let settings = Settings::parse(&settings.to_string(), "test").unwrap();
-    let node = Node::new(forms::CAN, settings, Policy::default());
+    let node = Node::new(schema_versions::CAN, settings, Policy::default());
     let mut core = node.core();
     let kind = json!({"sku":"m","cpus":4.0,"memGb":16.0,"hourly":1.0,"yards":["a"]});
     core.kinds = vec![serde_json::from_value::<Kind>(kind).unwrap()];
--- a/src/mesh/vouch.rs
+++ b/src/mesh/attestation.rs
@@ -26,69 +26,75 @@
 const WITHOUT_STATE: Duration = Duration::from_millis(2500);
 
 #[derive(Debug, bitcode::Encode, bitcode::Decode)]
-pub struct Vouch {
+pub struct Attestation {
     incarnation: u64,
     /// Its replica was read whole, and it has no contact with the state service either.
-    stands: bool,
+    is_disconnected: bool,
     cancelled: Vec<String>,
 }
 
 /// What the others said.
 #[derive(Debug, Default)]
-pub struct Heard {
+pub struct PeerStatus {
     /// When another controller last had the state service, and when one last answered at all.
     pub have_state: Option<Instant>,
     pub any: Option<Instant>,
     /// Jobs that others know to be cancelled and this node may not.
     pub cancelled: Arc<BTreeSet<String>>,
     /// When the last of them was told.
-    told: Option<Instant>,
-    /// By controller, when it was asked that last vouched.
-    vouched: HashMap<String, Instant>,
+    learned_at: Option<Instant>,
+    /// By controller, when it was asked that last attested.
+    attested_at: HashMap<String, Instant>,
 }
 
-impl Heard {
+impl PeerStatus {
     /// Up to when all of these controllers have told what they confirmed.
-    pub fn vouched<'a>(&self, peers: impl IntoIterator<Item = &'a str>) -> Option<Instant> {
-        let at = |name| self.vouched.get(name).copied();
+    pub fn attested<'a>(&self, peers: impl IntoIterator<Item = &'a str>) -> Option<Instant> {
+        let at = |name| self.attested_at.get(name).copied();
         peers.into_iter().map(at).min().flatten()
     }
 
     /// Takes in what a controller told that was asked at `asked`. `known` is its incarnation as
     /// far as the records told this node: of one that was another process then nobody knows what
     /// that had confirmed.
-    pub fn take(&mut self, peer: &str, known: Option<u64>, vouch: Vouch, asked: Instant) {
-        for id in &vouch.cancelled {
-            self.tell(id);
+    pub fn take(
+        &mut self,
+        peer: &str,
+        known: Option<u64>,
+        attestation: Attestation,
+        asked: Instant,
+    ) {
+        for id in &attestation.cancelled {
+            self.note_cancelled(id);
         }
-        if vouch.stands && known == Some(vouch.incarnation) {
-            self.vouched.insert(peer.to_owned(), asked);
+        if attestation.is_disconnected && known == Some(attestation.incarnation) {
+            self.attested_at.insert(peer.to_owned(), asked);
         }
     }
 
-    pub fn tell(&mut self, cancelled: &str) {
+    pub fn note_cancelled(&mut self, cancelled: &str) {
         if !self.cancelled.contains(cancelled) {
             Arc::make_mut(&mut self.cancelled).insert(cancelled.to_owned());
         }
-        self.told = Some(Instant::now());
+        self.learned_at = Some(Instant::now());
     }
 
     /// Forgets what the records have told by now, `proof` being when they were last read.
     pub fn settle(&mut self, proof: Instant) {
-        self.vouched.clear();
-        if self.told.is_some_and(|told| told < proof) {
-            self.told = None;
+        self.attested_at.clear();
+        if self.learned_at.is_some_and(|told| told < proof) {
+            self.learned_at = None;
             self.cancelled = Arc::default();
         }
     }
 }
 
-fn vouch(node: &Node) -> Vouch {
+fn attest(node: &Node) -> Attestation {
     let core = node.core();
     let cancelled = core.replica.jobs.iter().filter(|(_, j)| j.record.cancelled);
-    Vouch {
+    Attestation {
         incarnation: node.me.incarnation,
-        stands: core.loaded && core.proof.is_some_and(|p| p.elapsed() > WITHOUT_STATE),
+        is_disconnected: core.loaded && core.proof.is_some_and(|p| p.elapsed() > WITHOUT_STATE),
         cancelled: cancelled.map(|(id, _)| id.clone()).collect(),
     }
 }
@@ -96,16 +102,16 @@
 /// Answers a question of this kind. What this node was told itself it passes on: the one that
 /// confirmed it may be out of reach for the asker.
 pub async fn answer(node: &Node, stream: &mut TcpStream) -> std::io::Result<()> {
-    let mut vouch = vouch(node);
-    vouch
+    let mut attestation = attest(node);
+    attestation
         .cancelled
-        .extend(node.heard().cancelled.iter().cloned());
-    let frame = Bytes::from(bitcode::encode(&vouch));
+        .extend(node.peer_status().cancelled.iter().cloned());
+    let frame = Bytes::from(bitcode::encode(&attestation));
     stream.write_u32(frame.len() as u32).await?;
     stream.write_all(&frame).await
 }
 
-pub async fn ask(peer: SocketAddr) -> std::io::Result<Vouch> {
+pub async fn ask(peer: SocketAddr) -> std::io::Result<Attestation> {
     let mut stream = TcpStream::connect(peer).await?;
     stream.write_u16(ASKED).await?;
     let length = stream.read_u32().await? as usize;
--- a/src/mesh/vouch/tests.rs
+++ b/src/mesh/attestation/tests.rs
@@ -1,9 +1,9 @@
 use super::*;
 
-fn told(incarnation: u64, stands: bool, cancelled: &[&str]) -> Vouch {
-    Vouch {
+fn told(incarnation: u64, is_disconnected: bool, cancelled: &[&str]) -> Attestation {
+    Attestation {
         incarnation,
-        stands,
+        is_disconnected,
         cancelled: cancelled.iter().map(|id| (*id).to_owned()).collect(),
     }
 }
@@ -15,10 +15,10 @@
 fn only_all_of_the_others_vouch_for_what_was_confirmed() {
     let start = Instant::now();
     let at = |s| start + Duration::from_secs(s);
-    let mut heard = Heard::default();
+    let mut heard = PeerStatus::default();
     let mut trace = String::new();
-    let mut say = |what: &str, heard: &Heard| {
-        let vouched = heard.vouched(["n-1", "n-2"]);
+    let mut say = |what: &str, heard: &PeerStatus| {
+        let vouched = heard.attested(["n-1", "n-2"]);
         let vouched = vouched.map(|at| (at - start).as_secs());
         let known: Vec<_> = heard.cancelled.iter().cloned().collect();
         trace.push_str(&format!("{what}: up to {vouched:?}, cancelled {known:?}\n"));
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -1,7 +1,7 @@
 //! What the nodes tell one another directly: whether they reach the state service, and what they
 //! know to be cancelled. Frames are `bitcode`, each behind its length.
 
-pub mod vouch;
+pub mod attestation;
 
 use crate::node::Node;
 use crate::state::follow::LOST;
@@ -63,7 +63,7 @@
         tokio::spawn(async move {
             let talk = async {
                 match stream.read_u16().await? {
-                    vouch::ASKED => vouch::answer(&node, &mut stream).await,
+                    attestation::ASKED => attestation::answer(&node, &mut stream).await,
                     length => {
                         let _asker = receive_rest(&mut stream, length.into()).await?;
                         send(&mut stream, &status(&node)).await
@@ -88,13 +88,13 @@
 
 /// Asks the others, but only while this node itself lacks the state service.
 pub async fn ask(node: Arc<Node>) {
-    let mut vouched = None;
+    let mut attested_before = None;
     loop {
         tokio::time::sleep(EVERY).await;
         let proof = node.core().proof;
         if let Some(proof) = proof.filter(|p| p.elapsed() <= CONTACT) {
-            node.heard().settle(proof);
-            vouched = None;
+            node.peer_status().settle(proof);
+            attested_before = None;
             continue;
         }
         let mut asked = JoinSet::new();
@@ -103,16 +103,16 @@
             asked.spawn(async move {
                 let told = tokio::time::timeout(ANSWER_WITHIN, ask_status(addr, status(&node)));
                 let has_state = match told.await {
-                    Ok(Ok(told)) => Some(hear(&node, &told)),
+                    Ok(Ok(told)) => Some(note_status(&node, &told)),
                     _ => None,
                 };
                 let since = Instant::now();
-                let vouch = tokio::time::timeout(ANSWER_WITHIN, vouch::ask(addr)).await;
-                if let Ok(Ok(vouch)) = vouch {
-                    // One that was refused alone before is in no record any more, and vouches all
+                let attestation = tokio::time::timeout(ANSWER_WITHIN, attestation::ask(addr)).await;
+                if let Ok(Ok(attestation)) = attestation {
+                    // One that was refused alone before is in no record any more, and attests all
                     // the same: it is the process that it was.
                     let known = node.core().replica.incarnations.get(&name).copied();
-                    node.heard().take(&name, known, vouch, since);
+                    node.peer_status().take(&name, known, attestation, since);
                 }
                 has_state
             });
@@ -123,28 +123,31 @@
         }
         // What one said a moment before must not keep sending workers on that nobody else answers.
         if all_lack {
-            node.heard().have_state = None;
+            node.peer_status().have_state = None;
         }
         let peers = node.settings.peers.iter().map(|p| p.member.as_str());
-        let (all_vouch, cancelled) = {
-            let heard = node.heard();
-            (heard.vouched(peers).is_some(), heard.cancelled.len())
+        let (all_attest, cancelled) = {
+            let peers_say = node.peer_status();
+            (
+                peers_say.attested(peers).is_some(),
+                peers_say.cancelled.len(),
+            )
         };
         let lost = proof.is_none_or(|p| p.elapsed() > LOST);
-        if lost && vouched.replace(all_vouch) != Some(all_vouch) {
-            tracing::info!(all_vouch, cancelled, "no state service: asked the others");
+        if lost && attested_before.replace(all_attest) != Some(all_attest) {
+            tracing::info!(all_attest, cancelled, "no state service: asked the others");
         }
     }
 }
 
 /// Whether the one that told so has the state service.
-fn hear(node: &Node, told: &Status) -> bool {
+fn note_status(node: &Node, told: &Status) -> bool {
     let has_state = told.state_age_ms.is_some_and(|age| age < FRESH_MS);
-    let mut heard = node.heard();
-    heard.any = Some(Instant::now());
+    let mut peers = node.peer_status();
+    peers.any = Some(Instant::now());
     if has_state {
         tracing::debug!(peer = told.member, "another node has the state service");
-        heard.have_state = Some(Instant::now());
+        peers.have_state = Some(Instant::now());
     }
     has_state
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,12 +1,12 @@
 //! One controller node: what its slices share, behind one short lock, and how they are started.
 
 use crate::cloud::{CloudClient, Kind};
-use crate::jobs::learned::{Failures, Learned};
 use crate::jobs::plans::Plans;
+use crate::jobs::runtime_estimate::{Failures, RuntimeEstimate};
 use crate::jobs::{Entry, JobSpec, Layout};
 use crate::membership::Standing;
-use crate::membership::shares::Member;
-use crate::mesh::vouch::Heard;
+use crate::membership::assignment::Member;
+use crate::mesh::attestation::PeerStatus;
 use crate::metrics::memory::MemoryPressure;
 use crate::metrics::{Metrics, ProcessorTime};
 use crate::placement::cache::Cache;
@@ -32,7 +32,7 @@
     pub standing: Standing,
     pub plans: Plans,
     pub workers: Workers,
-    pub learned: HashMap<String, Learned>,
+    pub runtime_estimates: HashMap<String, RuntimeEstimate>,
     pub failures: HashMap<String, Failures>,
     pub kinds: Vec<Kind>,
     pub rent: RentState,
@@ -44,7 +44,7 @@
     pub settings: Settings,
     pub policy: Policy,
     pub me: Member,
-    /// What this process can do, see `membership::forms`.
+    /// What this process can do, see `membership::schema_versions`.
     pub can: u32,
     pub state: StateClient,
     pub cloud: CloudClient,
@@ -52,10 +52,10 @@
     sync_waiters: Mutex<Vec<oneshot::Sender<bool>>>,
     pub sync_wanted: Notify,
     /// Something changed that the placing loop should look at.
-    pub stirred: Notify,
+    pub wake_up: Notify,
     /// Placing ticks, counted as they begin and as they end.
     ticks: watch::Sender<(u64, u64)>,
-    heard: Mutex<Heard>,
+    heard: Mutex<PeerStatus>,
     pub processor_time: ProcessorTime,
     pub memory: MemoryPressure,
 }
@@ -81,7 +81,7 @@
             core: Mutex::new(Core::new(settings.layout(), now)),
             sync_waiters: Mutex::default(),
             sync_wanted: Notify::new(),
-            stirred: Notify::new(),
+            wake_up: Notify::new(),
             ticks: watch::Sender::new((0, 0)),
             heard: Mutex::default(),
             processor_time: ProcessorTime::default(),
@@ -96,7 +96,7 @@
     }
 
     /// What the other controllers told over the mesh. Taken after the core, if both are.
-    pub fn heard(&self) -> MutexGuard<'_, Heard> {
+    pub fn peer_status(&self) -> MutexGuard<'_, PeerStatus> {
         self.heard.lock().unwrap()
     }
 
@@ -109,16 +109,16 @@
         receive.await.unwrap_or(false)
     }
 
-    pub fn tick_begins(&self) {
+    pub fn cycle_begins(&self) {
         self.ticks.send_modify(|(begun, _)| *begun += 1);
     }
 
-    pub fn tick_ended(&self) {
+    pub fn cycle_ended(&self) {
         self.ticks.send_modify(|(begun, ended)| *ended = *begun);
     }
 
     /// Waits until a tick that begins after this call has ended, but no longer than `limit`.
-    pub async fn next_tick(&self, limit: Duration) {
+    pub async fn next_cycle(&self, limit: Duration) {
         let mut ticks = self.ticks.subscribe();
         let wanted = ticks.borrow().0 + 1;
         let ended = ticks.wait_for(|(_, ended)| *ended >= wanted);
@@ -133,7 +133,7 @@
     /// presence is over, and its machines belong to others. In an outage for all, leases stand
     /// still and the machines stay.
     pub fn is_cut_off(&self) -> bool {
-        let others = self.heard().have_state;
+        let others = self.peer_status().have_state;
         let ttl = self.settings.presence_ttl();
         let proof = self.core().standing.lease_proof;
         proof.is_none_or(|p| p.elapsed() > ttl)
@@ -142,7 +142,7 @@
 
     /// Whether a report from this worker is answered by sending it on: it must find its new owner,
     /// and as long as it gets a 200 it stays here.
-    pub fn sends_on(&self, machine: &str) -> bool {
+    pub fn redirects(&self, machine: &str) -> bool {
         if self.is_cut_off() {
             return true;
         }
@@ -155,24 +155,26 @@
         };
         let alone = self.settings.params.size > 1
             && lost_for(self.settings.presence_ttl() + PEERS_SILENT)
-            && silent(self.heard().any);
+            && silent(self.peer_status().any);
         let mut core = self.core();
-        core.standing.probe.sends_on(machine, alone, Instant::now())
+        core.standing
+            .probe
+            .redirects(machine, alone, Instant::now())
     }
 
     /// Whether a worker's report may be answered, which renews its lease. A cancellation that this
     /// node has not heard of would outlive `cancel_s` on a machine that it keeps alive. So it must
-    /// have read the records within `blind_limit`, or every other controller must have told it
+    /// have read the records within `disconnected_lease_limit`, or every other controller must have told it
     /// within that time what was cancelled, having no contact either.
     pub fn may_renew(&self) -> bool {
-        let blind = self.settings.blind_limit();
+        let blind = self.settings.disconnected_lease_limit();
         let core = self.core();
         let Some(proof) = core.proof.filter(|_| core.loaded) else {
             return false;
         };
         let peers = self.settings.peers.iter().map(|p| p.member.as_str());
         let all_are_known = self.settings.peers.len() + 1 >= self.settings.params.size as usize;
-        let vouched = self.heard().vouched(peers).filter(|_| all_are_known);
+        let vouched = self.peer_status().attested(peers).filter(|_| all_are_known);
         proof.max(vouched.unwrap_or(proof)).elapsed() <= blind
     }
 
@@ -192,7 +194,7 @@
             standing: Standing::default(),
             plans: Plans::default(),
             workers: Workers::default(),
-            learned: HashMap::new(),
+            runtime_estimates: HashMap::new(),
             failures: HashMap::new(),
             kinds: Vec::new(),
             rent: RentState::new(now),
@@ -228,7 +230,10 @@
         if spec.is_service() {
             return SERVICE_RUNS_S;
         }
-        let factor = self.learned.get(&spec.class).map_or(1.0, Learned::factor);
+        let factor = self
+            .runtime_estimates
+            .get(&spec.class)
+            .map_or(1.0, RuntimeEstimate::factor);
         (spec.estimate_s * factor).max(0.5)
     }
 
--- a/src/pipelines/mod.rs
+++ b/src/pipelines/mod.rs
@@ -11,7 +11,7 @@
 
 /// A job that waits for others.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Held {
+pub struct Blocked {
     pub record: JobRecord,
     pub awaits: Vec<String>,
     pub mark: u64,
@@ -29,7 +29,7 @@
 
 #[derive(Debug, Default)]
 pub struct Pipelines {
-    held: BTreeMap<String, Held>,
+    held: BTreeMap<String, Blocked>,
     /// Who waits for a job, by its id; it may have ended long ago.
     dependents: HashMap<String, BTreeSet<String>>,
     /// All that they need is done.
@@ -49,11 +49,11 @@
         }
     }
 
-    pub fn get(&self, id: &str) -> Option<&Held> {
+    pub fn get(&self, id: &str) -> Option<&Blocked> {
         self.held.get(id)
     }
 
-    pub fn all(&self) -> impl Iterator<Item = (&String, &Held)> {
+    pub fn all(&self) -> impl Iterator<Item = (&String, &Blocked)> {
         self.held.iter()
     }
 
@@ -92,7 +92,7 @@
         if open.is_empty() && !cancelled {
             self.ready.insert(id.to_owned());
         }
-        let held = Held {
+        let held = Blocked {
             record,
             awaits,
             mark,
@@ -106,7 +106,7 @@
     }
 
     /// It waits no longer: it was released, or is over.
-    pub fn remove(&mut self, id: &str) -> Option<Held> {
+    pub fn remove(&mut self, id: &str) -> Option<Blocked> {
         let held = self.held.remove(id)?;
         self.version += 1;
         for other in &held.awaits {
@@ -156,13 +156,13 @@
         }
     }
 
-    pub fn ready(&self) -> impl Iterator<Item = (&String, &Held)> {
+    pub fn ready(&self) -> impl Iterator<Item = (&String, &Blocked)> {
         self.ready
             .iter()
             .filter_map(|id| self.held.get_key_value(id))
     }
 
-    pub fn doomed(&self) -> impl Iterator<Item = (&String, &Held)> {
+    pub fn doomed(&self) -> impl Iterator<Item = (&String, &Blocked)> {
         self.doomed
             .iter()
             .filter_map(|id| self.held.get_key_value(id))
--- a/src/pipelines/service.rs
+++ b/src/pipelines/service.rs
@@ -17,8 +17,8 @@
 }
 
 /// The record of one that was cancelled while it waited: nothing of it ran.
-pub const CANCELLED: Stored = Stored::Over {
-    over: Final::Cancelled,
+pub const CANCELLED: Stored = Stored::Finished {
+    outcome: Final::Cancelled,
 };
 
 /// Those that this node sees to: its own, and after it ended a job any that are ready, so that the
@@ -88,7 +88,7 @@
             return false;
         };
         node.core().apply(ops, ledger);
-        node.stirred.notify_one();
+        node.wake_up.notify_one();
     }
 }
 
@@ -103,7 +103,7 @@
             return false;
         };
         node.core().replica.remember_ended(&id, last);
-        node.stirred.notify_one();
+        node.wake_up.notify_one();
     }
     true
 }
--- a/src/placement/cache.rs
+++ b/src/placement/cache.rs
@@ -6,7 +6,7 @@
 use crate::cloud::Kind;
 use crate::fleet::Use;
 use crate::jobs::{Entry, JobRecord, JobSpec, split_task};
-use crate::membership::shares::Member;
+use crate::membership::assignment::Member;
 use crate::node::{Core, Node, age_s};
 use crate::pipelines::paths::{Pull, pulls};
 use crate::state::replica::Job;
@@ -223,7 +223,7 @@
     machines.extend(core.plans.take_changed_machines());
     let mut jobs = core.replica.take_changed_jobs();
     jobs.extend(core.plans.take_changed_jobs());
-    let mark = core.replica.shares.as_ref().map_or(0, |s| s.mark);
+    let mark = core.replica.assignment.as_ref().map_or(0, |s| s.mark);
     if mark != cache.shares_mark || cache.kinds_known != core.kinds.len() {
         cache.shares_mark = mark;
         cache.kinds_known = core.kinds.len();
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -3,32 +3,34 @@
 use super::{cache, now, preempt, views};
 use crate::jobs::{Entry, JobSpec, Urgency, writer};
 use crate::membership;
-use crate::metrics::{self, Duty};
+use crate::metrics::{self, Duty, Metrics};
 use crate::node::{Core, Node, wall_ms};
 use crate::renting;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const TICK: Duration = Duration::from_millis(400);
-const SHORTEST: Duration = Duration::from_millis(80);
-const LONGEST: Duration = Duration::from_millis(600);
+/// A cycle begins after so long even if nothing woke it up.
+const CYCLE_EVERY: Duration = Duration::from_millis(400);
+/// The pause after a cycle: at least, and at most for want of writes.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(80);
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 /// Placing takes no more than a part of the time: reports, health probes and polls come between.
 const PAUSE_PER_WORK: u32 = 3;
-/// Most tasks started in a tick.
-const MOST_IN_TICK: usize = 400;
+/// Most tasks started in a cycle.
+const MOST_STARTS: usize = 400;
 
 pub async fn run(node: Arc<Node>) {
     let mut logged = Instant::now();
     loop {
-        let _ = tokio::time::timeout(TICK, node.stirred.notified()).await;
-        let mut pause = SHORTEST;
+        let _ = tokio::time::timeout(CYCLE_EVERY, node.wake_up.notified()).await;
+        let mut pause = SHORTEST_PAUSE;
         if node.core().loaded {
-            node.tick_begins();
-            let worked = tick(&node).await;
-            node.tick_ended();
+            node.cycle_begins();
+            let worked = scheduling_cycle(&node).await;
+            node.cycle_ended();
             // Where writes are scarce, a record should hold more starts rather than come sooner.
-            let scarce = LONGEST.mul_f64(1.0 - node.state.writes_at_ease());
+            let scarce = LONGEST_PAUSE.mul_f64(1.0 - node.state.writes_at_ease());
             pause = pause.max(worked * PAUSE_PER_WORK).max(scarce);
         }
         if logged.elapsed().as_secs_f64() >= node.policy.period_s {
@@ -39,59 +41,79 @@
     }
 }
 
-/// One turn of placing. Returns how long it kept everything else waiting.
-async fn tick(node: &Arc<Node>) -> Duration {
-    let mark = membership::lead_mark(node);
-    membership::note_lead(node, mark);
-    if let Some(mark) = mark {
-        membership::share_out(node, mark).await;
+/// One scheduling cycle. Returns how long it kept everything else waiting.
+async fn scheduling_cycle(node: &Arc<Node>) -> Duration {
+    let lead_mark = membership::lead_mark(node);
+    membership::note_lead(node, lead_mark);
+    if let Some(mark) = lead_mark {
+        membership::assign_work(node, mark).await;
     }
-    let now = Instant::now();
+    let began = Instant::now();
+    if !plan_changes(node, began) {
+        return Duration::ZERO;
+    }
+    let worked = began.elapsed();
+    note_cycle(&mut node.core().metrics, worked);
+    writer::write(node, lead_mark.is_some()).await;
+    worked
+}
+
+fn note_cycle(metrics: &mut Metrics, worked: Duration) {
+    metrics.ticks += 1;
+    metrics.placing += worked;
+    metrics.longest = metrics.longest.max(worked);
+}
+
+/// Plans what is to be recorded next: starts, stops, and what became of tasks on machines that are gone.
+/// False as long as the kinds of machine are not known.
+fn plan_changes(node: &Node, now: Instant) -> bool {
     let now_ms = wall_ms();
-    {
-        let mut core = node.core();
-        let charge = node.processor_time.charge(Duty::Views);
-        core.note_ownership(&node.me, now);
-        if core.kinds.is_empty() {
-            return Duration::ZERO;
-        }
-        clear_gone(node, &mut core);
-        cache::refresh_pulls(node, &mut core, now);
-        core.metrics.views += cache::refresh(&mut core, &node.me, now, now_ms);
-        let mut views = views::build(node, &mut core, now, now_ms);
-        drop(charge);
-        // The first event waits for the first job, and is then at once.
-        if !core.replica.jobs.is_empty() || !core.replica.fleet.machines.is_empty() {
-            let _charge = node.processor_time.charge(Duty::Forecast);
-            renting::decide::look_ahead(node, &mut core, &views, now, now_ms);
-        }
-        if !views.jobs.is_empty() {
-            let startup = node.policy.startup_count;
-            let charge = node.processor_time.charge(Duty::Placement);
-            let placing = now::place(&views.jobs, &mut views.machines, startup, MOST_IN_TICK);
-            drop(charge);
-            let _charge = node.processor_time.charge(Duty::Planning);
-            core.metrics.steps += placing.steps;
-            core.metrics.starts += placing.starts.len() as u64;
-            plan(&mut core, &mut views, &placing.starts);
-            make_room(node, &mut core, &views, &placing.waits, now);
-        }
-        let _charge = node.processor_time.charge(Duty::Planning);
-        stop_broken_gangs(&mut core);
-        save_from_notices(node, &mut core, now);
+    let mut core = node.core();
+    let Some(mut views) = look_at_all(node, &mut core, now, now_ms) else {
+        return false;
+    };
+    // The first event waits for the first job, and is then at once.
+    if !core.replica.jobs.is_empty() || !core.replica.fleet.machines.is_empty() {
+        let _charge = node.processor_time.charge(Duty::Forecast);
+        renting::decide::look_ahead(node, &mut core, &views, now, now_ms);
     }
-    let worked = now.elapsed();
-    {
-        let mut core = node.core();
-        core.metrics.ticks += 1;
-        core.metrics.placing += worked;
-        core.metrics.longest = core.metrics.longest.max(worked);
+    if !views.jobs.is_empty() {
+        plan_starts(node, &mut core, &mut views, now);
     }
-    writer::write(node, mark.is_some()).await;
-    worked
+    let _charge = node.processor_time.charge(Duty::Planning);
+    stop_broken_gangs(&mut core);
+    save_from_notices(node, &mut core, now);
+    true
+}
+
+/// Brings the views of machines and jobs up to date.
+fn look_at_all(node: &Node, core: &mut Core, now: Instant, now_ms: u64) -> Option<views::Views> {
+    let _charge = node.processor_time.charge(Duty::Views);
+    core.note_ownership(&node.me, now);
+    if core.kinds.is_empty() {
+        return None;
+    }
+    clear_gone(node, core);
+    cache::refresh_pulls(node, core, now);
+    core.metrics.views += cache::refresh(core, &node.me, now, now_ms);
+    Some(views::build(node, core, now, now_ms))
+}
+
+/// Plans starts of what can start now, and makes room for what cannot.
+fn plan_starts(node: &Node, core: &mut Core, views: &mut views::Views, now: Instant) {
+    let placing = {
+        let _charge = node.processor_time.charge(Duty::Placement);
+        let startup = node.policy.startup_count;
+        now::place(&views.jobs, &mut views.machines, startup, MOST_STARTS)
+    };
+    let _charge = node.processor_time.charge(Duty::Planning);
+    core.metrics.steps += placing.steps;
+    core.metrics.starts += placing.starts.len() as u64;
+    plan(core, views, &placing.starts);
+    make_room(node, core, views, &placing.waits, now);
 }
 
-/// Most machines on which room is made in a tick.
+/// Most machines on which room is made in a cycle.
 const MOST_CLEARED: usize = 24;
 
 fn make_room(
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -4,7 +4,7 @@
 use super::preempt::{Claim, Occupant};
 use super::{By, JobView, MachineView, Need};
 use crate::jobs::{Entry, JobRecord, JobSpec, Shape, Urgency};
-use crate::membership::shares::spot_of;
+use crate::membership::assignment::spot_of;
 use crate::node::{Core, Node, age_s};
 use crate::policy::JobFacts;
 use std::collections::HashMap;
--- a/src/renting/decide.rs
+++ b/src/renting/decide.rs
@@ -1,9 +1,11 @@
 //! What a controller expects, and what the leader makes of it: the paper's periodic and remedial
 //! rules, and which idle machines are offered to go back.
 
-use super::{Held, Outlook, OutlookRecord, Verdict, k_of_size, periodic, remedial, to_return};
+use super::{
+    ForecastSummaryRecord, Held, Outlook, Verdict, k_of_size, periodic, remedial, to_return,
+};
 use crate::fleet::Use;
-use crate::membership::shares::Member;
+use crate::membership::assignment::Member;
 use crate::node::{Core, Node, age_s};
 use crate::placement::forecast::{Forecast, forecast};
 use crate::placement::views::{Views, kinds_for, room_of};
@@ -65,7 +67,7 @@
     }
     let mapping = forecast(&views.jobs, &views.machines, startup_count);
     core.metrics.steps += mapping.steps;
-    let mut record = OutlookRecord {
+    let mut record = ForecastSummaryRecord {
         at_ms: now_ms,
         puts_per_s: 0.0,
         unwritten: core.plans.unwritten(),
--- a/src/renting/decide/tests.rs
+++ b/src/renting/decide/tests.rs
@@ -28,7 +28,7 @@
         let room = (value / kinds).saturating_sub(OUTLOOK_BYTES) / (longest.len() + 3);
         let room = room.clamp(1, MOST_IDLE);
         let of = |n: usize| (format!("a-kind-{n:08}"), outlook(room));
-        let record = OutlookRecord {
+        let record = ForecastSummaryRecord {
             at_ms: u64::MAX >> 11,
             puts_per_s: number,
             unwritten: number,
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -1,8 +1,8 @@
 //! When to rent and when to return: the paper's periodic and remedial rules, per kind of machine.
 
 pub mod decide;
-mod give_back;
-mod hire;
+mod provision;
+mod release;
 pub mod service;
 
 use crate::policy::Bands;
@@ -48,7 +48,7 @@
 
 /// All that a controller publishes.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct OutlookRecord {
+pub struct ForecastSummaryRecord {
     pub at_ms: u64,
     /// What it wrote of late, so that others may use what it leaves of its part.
     #[serde(default)]
--- a/src/renting/hire.rs
+++ b/src/renting/provision.rs
@@ -5,7 +5,7 @@
 use crate::cloud::{self, CloudError};
 use crate::fleet::{Rental, Rented, Use, most_hired};
 use crate::membership;
-use crate::membership::shares::{Member, targets};
+use crate::membership::assignment::{Member, targets};
 use crate::node::{Core, Node, age_s, wall_ms};
 use crate::state::{Guard, Op, rental_key};
 use std::collections::BTreeMap;
@@ -222,7 +222,7 @@
         .await
     {
         node.core().apply(vec![op], ledger);
-        node.stirred.notify_one();
+        node.wake_up.notify_one();
     }
     got
 }
@@ -231,7 +231,7 @@
 fn first_owners(node: &Node, core: &Core, rental: &Rental, count: usize) -> Vec<Member> {
     let (kind, zone, spot) = (&rental.kind, &rental.zone, rental.spot);
     let present = core.replica.present();
-    let Some(shares) = core.replica.shares.as_ref() else {
+    let Some(shares) = core.replica.assignment.as_ref() else {
         return vec![node.me.clone(); count];
     };
     let fleet = &core.replica.fleet.machines;
--- a/src/renting/give_back.rs
+++ b/src/renting/release.rs
@@ -8,7 +8,7 @@
 use crate::node::{Core, Node, age_s, wall_ms};
 use crate::state::budget::Need;
 use crate::state::follow::LOST;
-use crate::state::replica::Kept;
+use crate::state::replica::Versioned;
 use crate::state::{Guard, Op, rental_key};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -43,7 +43,7 @@
             core.workers.live.remove(name);
         }
     }
-    node.stirred.notify_one();
+    node.wake_up.notify_one();
 }
 
 /// Changes machines in their rentals' records, as many as fit one transaction; returns those whose
@@ -64,7 +64,11 @@
         let mut bytes = 0;
         for (name, kept) in changed {
             let parts = in_parts(&name, kept, node.settings.value_bytes());
-            let op = |(name, kept): &(String, Kept<Rental>)| match kept.record.machines.is_empty() {
+            let op = |(name, kept): &(String, Versioned<Rental>)| match kept
+                .record
+                .machines
+                .is_empty()
+            {
                 true => Op::drop(rental_key(name)),
                 false => Op::set(rental_key(name), &kept.record),
             };
@@ -174,7 +178,7 @@
 }
 
 /// Rentals of one kind, zone and sort whose machines fit one record, the largest first.
-fn to_merge(node: &Node, core: &Core) -> Vec<(String, Kept<Rental>)> {
+fn to_merge(node: &Node, core: &Core) -> Vec<(String, Versioned<Rental>)> {
     let now_ms = wall_ms();
     let most = most_hired(node.settings.value_bytes());
     let settled = |rental: &Rental| {
@@ -311,7 +315,7 @@
                 let unheard = age_s(record.hired_ms, now_ms) > boot * 3.0 + 15.0;
                 // An owner before us that is cut off from the state service may keep the worker
                 // for as long as it may go without proof; only then does silence mean anything.
-                if unheard && known > silence + node.settings.blind_limit() {
+                if unheard && known > silence + node.settings.disconnected_lease_limit() {
                     close.push((name.clone(), "never came up"));
                 }
             }
--- a/src/renting/service.rs
+++ b/src/renting/service.rs
@@ -1,10 +1,10 @@
 //! The loop of renting, and its state.
 
+use super::ForecastSummaryRecord;
 use super::Outlook;
-use super::OutlookRecord;
 use super::decide::{Flow, Tally, Wish, event, remedy, summed};
-use super::give_back::{close_machines, mark_returning, merge_rentals, take_list};
-use super::hire::{fulfil, resend_hires};
+use super::provision::{fulfil, resend_hires};
+use super::release::{close_machines, mark_returning, merge_rentals, take_list};
 use crate::membership;
 use crate::metrics::Duty;
 use crate::node::{Node, wall_ms};
@@ -32,8 +32,8 @@
     /// When the leader last looked for small rentals to merge.
     pub merged_at: Option<Instant>,
     /// To be published: what this node expects.
-    pub outlook: Option<OutlookRecord>,
-    pub published: Option<(Instant, OutlookRecord)>,
+    pub outlook: Option<ForecastSummaryRecord>,
+    pub published: Option<(Instant, ForecastSummaryRecord)>,
 }
 
 impl RentState {
@@ -74,7 +74,7 @@
 
 const PAUSE: Duration = Duration::from_millis(500);
 
-/// Fetches the catalogue on every node, which needs it to judge submissions, and does the
+/// Fetches the catalogue on every node, which needs it to check_acceptance submissions, and does the
 /// leader's business with the cloud.
 pub async fn run(node: Arc<Node>) {
     let mut catalog_at: Option<Instant> = None;
@@ -86,7 +86,7 @@
         {
             node.core().kinds = kinds;
             catalog_at = Some(Instant::now());
-            node.stirred.notify_one();
+            node.wake_up.notify_one();
         }
         publish(&node).await;
         close_machines(&node).await;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -318,7 +318,7 @@
     /// margin is for what passes between the end of a lease and the end of its tasks, and for
     /// clocks that run apart; where `cancel_s` is hardly above `lease_s` it takes a third of what
     /// lies between, and where it is not above it no lease may be renewed without a new reading.
-    pub fn blind_limit(&self) -> Duration {
+    pub fn disconnected_lease_limit(&self) -> Duration {
         let w = &self.params.workers;
         let between = w.cancel_s * 0.998 - w.lease_s * 1.001 - self.params.skew_ms / 1000.0;
         Duration::from_secs_f64((between - (between / 3.0).min(2.0)).max(0.0))
@@ -327,7 +327,8 @@
     /// How long a reading of the log may wait for changes: so that the proof that it gives is
     /// never much older than workers may be answered by it.
     pub fn follow_hold(&self) -> Duration {
-        (self.blind_limit() / 3).clamp(Duration::from_millis(100), Duration::from_secs(1))
+        (self.disconnected_lease_limit() / 3)
+            .clamp(Duration::from_millis(100), Duration::from_secs(1))
     }
 
     /// How jobs are divided into pages of progress.
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -30,13 +30,13 @@
         let takeover = s.presence_ttl() + Duration::from_millis(700) * records.div_ceil(10) as u32;
         assert!(machines + 200 < sockets - crate::api::OWN_SOCKETS);
         assert!(takeover < s.lease());
-        assert!(s.blind_limit() + s.lease() < Duration::from_secs_f64(cancel_s));
+        assert!(s.disconnected_lease_limit() + s.lease() < Duration::from_secs_f64(cancel_s));
         trace.push_str(&format!(
             "{machines} machines: {records} records, {} tasks a page, taken over within {:.1} s \
              of {lease_s}, answers workers for {:.1} s without state\n",
             s.layout().wide,
             takeover.as_secs_f64(),
-            s.blind_limit().as_secs_f64()
+            s.disconnected_lease_limit().as_secs_f64()
         ));
     }
     insta::assert_snapshot!(trace, @r#"
--- a/src/state/follow.rs
+++ b/src/state/follow.rs
@@ -53,15 +53,15 @@
         Ok(followed) => {
             let _charge = node.processor_time.charge(Duty::Replicate);
             let mut core = node.core();
-            let stirred = !followed.log.is_empty();
+            let wake_up = !followed.log.is_empty();
             if core.proof.is_none_or(|p| p.elapsed() > LOST) {
                 core.contact_since = Some(sent);
             }
             core.replica.take(followed.log, followed.ledger);
             core.proof = core.proof.max(Some(sent));
             drop(core);
-            if stirred {
-                node.stirred.notify_one();
+            if wake_up {
+                node.wake_up.notify_one();
             }
             Ok(())
         }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -36,10 +36,10 @@
 pub fn outlook_key(member: &str) -> String {
     format!("r/o/{member}")
 }
-/// What all controllers can do; see `membership::forms`.
+/// What all controllers can do; see `membership::schema_versions`.
 pub const FORMS_KEY: &str = "r/forms";
 pub const LEADER_KEY: &str = "r/leader";
-pub const SHARES_KEY: &str = "r/shares";
+pub const ASSIGNMENT_KEY: &str = "r/shares";
 pub fn final_key(id: &str) -> String {
     format!("e/{id}")
 }
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -4,10 +4,10 @@
 use super::client::{Change, Pair};
 use crate::fleet::Fleet;
 use crate::jobs::{Entry, Final, JobRecord, Layout, Page, PageId, Stage, Stored};
-use crate::membership::forms::Forms;
-use crate::membership::shares::{Member, Shares};
+use crate::membership::assignment::{Assignment, Member};
+use crate::membership::schema_versions::SchemaVersions;
 use crate::pipelines::{Need, Pipelines};
-use crate::renting::OutlookRecord;
+use crate::renting::ForecastSummaryRecord;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
@@ -15,7 +15,7 @@
 pub struct PresenceRecord {
     pub incarnation: u64,
     pub lease: u64,
-    /// What its version can do; see `membership::forms`. The version before says nothing.
+    /// What its version can do; see `membership::schema_versions`. The version before says nothing.
     #[serde(default)]
     pub forms: u32,
 }
@@ -28,7 +28,7 @@
 }
 
 #[derive(Debug, Clone, PartialEq)]
-pub struct Kept<T> {
+pub struct Versioned<T> {
     pub record: T,
     pub mark: u64,
 }
@@ -37,14 +37,14 @@
 pub struct Job {
     pub record: JobRecord,
     pub mark: u64,
-    pub pages: BTreeMap<PageId, Kept<Page>>,
+    pub pages: BTreeMap<PageId, Versioned<Page>>,
     pub done: u32,
     pub placed: u32,
 }
 
 /// Where a task stands by a job's pages: by its dense page, if there is one, and else by its wide one.
 fn entry_in<'a>(
-    page: impl Fn(PageId) -> Option<&'a Kept<Page>>,
+    page: impl Fn(PageId) -> Option<&'a Versioned<Page>>,
     layout: &Layout,
     task: u32,
 ) -> &'a Entry {
@@ -97,17 +97,17 @@
     pub pipelines: Pipelines,
     /// Jobs whose record cannot be read: they are known, and nothing else is said of them.
     unreadable: HashSet<String>,
-    pub forms: Option<Kept<Forms>>,
+    pub forms: Option<Versioned<SchemaVersions>>,
     pub fleet: Fleet,
-    pub presence: BTreeMap<String, Kept<PresenceRecord>>,
+    pub presence: BTreeMap<String, Versioned<PresenceRecord>>,
     /// Of each controller that was ever there, the incarnation last known.
     pub incarnations: BTreeMap<String, u64>,
-    pub leader: Option<Kept<LeaderRecord>>,
-    pub shares: Option<Kept<Shares>>,
+    pub leader: Option<Versioned<LeaderRecord>>,
+    pub assignment: Option<Versioned<Assignment>>,
     /// What each controller published last.
-    pub outlooks: BTreeMap<String, Kept<OutlookRecord>>,
+    pub outlooks: BTreeMap<String, Versioned<ForecastSummaryRecord>>,
     /// Pages whose job is not there (any more).
-    pub orphans: BTreeMap<(String, PageId), Kept<Page>>,
+    pub orphans: BTreeMap<(String, PageId), Versioned<Page>>,
     /// Which tasks the records place on each machine.
     pub on: HashMap<String, BTreeSet<(String, u32)>>,
     /// Jobs that ended of late: their tasks may still hold room on machines.
@@ -204,9 +204,11 @@
         match slice {
             "j" => match read(key, data) {
                 Some(Stored::Open(record)) => self.put_job(name, record, mark),
-                Some(Stored::Held { held, awaits }) => self.put_held(name, held, awaits, mark),
-                Some(Stored::Over { over }) => {
-                    self.finish(name, over);
+                Some(Stored::Blocked { record, awaits }) => {
+                    self.put_blocked(name, record, awaits, mark)
+                }
+                Some(Stored::Finished { outcome }) => {
+                    self.finish(name, outcome);
                     self.closed.insert(name.to_owned(), mark);
                 }
                 None => {
@@ -227,7 +229,7 @@
                 }
             }
             "forms" if self.forms.as_ref().is_none_or(|f| f.mark < mark) => {
-                self.forms = read(key, data).map(|record| Kept { record, mark });
+                self.forms = read(key, data).map(|record| Versioned { record, mark });
                 // What the pages were begun with holds, whatever the settings have come to say.
                 if let Some(layout) = self.forms.as_ref().and_then(|f| f.record.layout) {
                     self.layout.wide = layout.wide;
@@ -247,11 +249,11 @@
                 }
             }
             "o" => keep(&mut self.outlooks, key, name, data, mark),
-            "shares" if self.shares.as_ref().is_none_or(|s| s.mark < mark) => {
-                self.shares = read(key, data).map(|record| Kept { record, mark });
+            "shares" if self.assignment.as_ref().is_none_or(|s| s.mark < mark) => {
+                self.assignment = read(key, data).map(|record| Versioned { record, mark });
             }
             "leader" if self.leader.as_ref().is_none_or(|l| l.mark < mark) => {
-                self.leader = read(key, data).map(|record| Kept { record, mark });
+                self.leader = read(key, data).map(|record| Versioned { record, mark });
             }
             _ => {}
         }
@@ -338,7 +340,7 @@
         self.remember_ended(id, last);
     }
 
-    fn put_held(&mut self, id: &str, record: JobRecord, awaits: Vec<String>, mark: u64) {
+    fn put_blocked(&mut self, id: &str, record: JobRecord, awaits: Vec<String>, mark: u64) {
         // It was released or is over since: an older change comes late.
         if self.ended.contains_key(id) || self.jobs.contains_key(id) {
             return;
@@ -376,7 +378,7 @@
         self.pipelines.unknown_before(id, known)
     }
 
-    fn page(&self, id: &str, page: PageId) -> Option<&Kept<Page>> {
+    fn page(&self, id: &str, page: PageId) -> Option<&Versioned<Page>> {
         match self.jobs.get(id) {
             Some(job) => job.pages.get(&page),
             None => self.orphans.get(&(id.to_owned(), page)),
@@ -390,7 +392,7 @@
         }
         let slots = self.slots(old.map(|o| &o.record), page, record.0.len());
         let before = self.entries(id, page, slots);
-        let kept = Kept { record, mark };
+        let kept = Versioned { record, mark };
         match self.jobs.get_mut(id) {
             Some(job) => {
                 job.pages.insert(page, kept);
@@ -527,7 +529,7 @@
 
     /// The controller that places a job and ends it.
     pub fn owner_of(&self, job: &JobRecord) -> Option<&Member> {
-        self.shares.as_ref()?.record.owner(job)
+        self.assignment.as_ref()?.record.owner(job)
     }
 
     /// Where the records say that a task stands; tasks of jobs that ended have pages for a while.
@@ -578,7 +580,7 @@
 }
 
 fn keep<T: for<'de> Deserialize<'de>>(
-    into: &mut BTreeMap<String, Kept<T>>,
+    into: &mut BTreeMap<String, Versioned<T>>,
     key: &str,
     name: &str,
     data: &str,
@@ -588,7 +590,7 @@
         return;
     }
     if let Some(record) = read(key, data) {
-        into.insert(name.to_owned(), Kept { record, mark });
+        into.insert(name.to_owned(), Versioned { record, mark });
     }
 }
 
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -4,7 +4,7 @@
 
 use super::{Op, Replica};
 use crate::jobs::{Entry, JobRecord, Layout, Page, PageId, Stored};
-use crate::membership::forms::{CAN, Forms};
+use crate::membership::schema_versions::{CAN, SchemaVersions};
 use crate::state::replica::{LeaderRecord, PresenceRecord};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -91,7 +91,7 @@
     }
 
     #[derive(Debug, Deserialize)]
-    pub struct Shares {
+    pub struct Assignment {
         pub members: Vec<Member>,
         pub teams: BTreeMap<String, usize>,
         pub gangs: Vec<usize>,
@@ -106,7 +106,7 @@
     }
 
     #[derive(Debug, Deserialize)]
-    pub struct OutlookRecord {
+    pub struct ForecastSummaryRecord {
         pub at_ms: u64,
         #[serde(default)]
         pub puts_per_s: f64,
@@ -201,7 +201,10 @@
     trace.push_str(&format!(
         "leader {:?}, {} slots, {} outlooks, limits fallen {fallen}, begun {}\n",
         replica.leader.as_ref().map(|l| &l.record.member),
-        replica.shares.as_ref().map_or(0, |s| s.record.slots.len()),
+        replica
+            .assignment
+            .as_ref()
+            .map_or(0, |s| s.record.slots.len()),
         outlooks.len(),
         replica.has_begun(),
     ));
@@ -225,7 +228,7 @@
     let mut replica = replica(LAYOUT);
     let count = |r: &Replica| (r.jobs["job-000304"].done, r.jobs["job-000304"].placed);
     let before = count(&replica);
-    let forms = Forms {
+    let forms = SchemaVersions {
         seen: ["a".to_string()].into(),
         layout: Some(LAYOUT),
     };
@@ -299,8 +302,8 @@
     };
     assert_eq!(back, Stored::Open(expected));
     // A job that waits is nothing that production could run.
-    let held = Stored::Held {
-        held: job,
+    let held = Stored::Blocked {
+        record: job,
         awaits: vec!["job-000302".into()],
     };
     assert!(serde_json::from_str::<shapes::JobRecord>(&written(&held)).is_err());
@@ -332,8 +335,8 @@
         "a rental",
         &serde_json::from_str::<shapes::Rental>(&rental).unwrap(),
     );
-    let shares = written(&replica.shares.as_ref().unwrap().record);
-    let shares: shapes::Shares = serde_json::from_str(&shares).unwrap();
+    let shares = written(&replica.assignment.as_ref().unwrap().record);
+    let shares: shapes::Assignment = serde_json::from_str(&shares).unwrap();
     say(
         "shares",
         &(
@@ -349,7 +352,7 @@
     let outlook = written(&outlook);
     say(
         "outlook",
-        &serde_json::from_str::<shapes::OutlookRecord>(&outlook).unwrap(),
+        &serde_json::from_str::<shapes::ForecastSummaryRecord>(&outlook).unwrap(),
     );
     let frame = bitcode::encode(&crate::mesh::Status {
         member: "millstone-1".into(),
@@ -369,7 +372,7 @@
     leader: LeaderRecord { member: "millstone-0", incarnation: 7, lease: 8 }
     a rental: Rental { kind: "m4", zone: "a", spot: false, count: 4, hired_ms: 1796178941403, open: false, owners: [("millstone-0", 1170161245356350)], machines: [("vm-000005", 0, 9, 0), ("vm-000006", 0, 9, 0), ("vm-000007", 0, 9, 0), ("vm-000008", 0, 9, 0)] }
     shares: ([Member { name: "millstone-0", incarnation: 1170161245356350 }, Member { name: "millstone-1", incarnation: 1127635665600669 }, Member { name: "millstone-2", incarnation: 364675329392080 }], {"t": 0}, [1], true, 60)
-    outlook: OutlookRecord { at_ms: 1796178943111, puts_per_s: 3.9563055831410505, kinds: {"m4": Outlook { late_now: 0.0, counted_now: 19.75, late_next: 0.0, counted_next: 0.0, running: 1.5, waiting: 122, startup: 2, booting: 0, wanted: 0.0, wanted_spot: 0.0, wanted_else: {}, arrived: 0, finished: 6, held: [] }} }
+    outlook: ForecastSummaryRecord { at_ms: 1796178943111, puts_per_s: 3.9563055831410505, kinds: {"m4": Outlook { late_now: 0.0, counted_now: 19.75, late_next: 0.0, counted_next: 0.0, running: 1.5, waiting: 122, startup: 2, booting: 0, wanted: 0.0, wanted_spot: 0.0, wanted_else: {}, arrived: 0, finished: 6, held: [] }} }
     a mesh frame: Status { member: "millstone-1", state_age_ms: Some(140) }
     "#);
 }
--- a/src/testing/load_profile.rs
+++ b/src/testing/load_profile.rs
@@ -366,7 +366,7 @@
         Box::pin(async move { answer })
     }));
     let node = Node::new(
-        crate::membership::forms::CAN,
+        crate::membership::schema_versions::CAN,
         settings(load, state, cloud),
         Policy::default(),
     );
--- a/src/testing/mod.rs
+++ b/src/testing/mod.rs
@@ -124,7 +124,7 @@
 };
 
 const PRESENT: Version = Version {
-    can: crate::membership::forms::CAN,
+    can: crate::membership::schema_versions::CAN,
     value_kb: 8.0,
     next: None,
     times: USUAL,
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -5,7 +5,7 @@
 use crate::fleet::Use;
 use crate::jobs::Entry;
 use crate::membership;
-use crate::membership::shares::Member;
+use crate::membership::assignment::Member;
 use crate::metrics::Duty;
 use crate::node::{Core, Node, wall_ms};
 use crate::workers::wire;
@@ -56,7 +56,7 @@
         Some(owner) => return elsewhere(Some(&owner.name)),
         None => return greet_unknown(node),
     }
-    if node.sends_on(&report.machine) {
+    if node.redirects(&report.machine) {
         return elsewhere(None);
     }
     // A cancellation may have passed us by: keeping the worker's lease alive would keep cancelled
@@ -67,7 +67,7 @@
     }
     let taken = take(node, &mut node.core(), &report, Instant::now());
     if matches!(taken, Taken::Read { freed: true, .. }) {
-        node.stirred.notify_one();
+        node.wake_up.notify_one();
     }
     match taken {
         Taken::NotOurs => return elsewhere(None),
@@ -85,7 +85,7 @@
         }
         // What is placed in the room just freed goes out with this answer, once it is recorded;
         // with the next report's it would come a report's interval later.
-        Taken::Read { freed: true, .. } => node.next_tick(ANSWER_WITHIN).await,
+        Taken::Read { freed: true, .. } => node.next_cycle(ANSWER_WITHIN).await,
     }
     let mut core = node.core();
     match orders(node, &mut core, &report, Instant::now()) {
@@ -161,7 +161,7 @@
 }
 
 /// `run` goes out by records read within this. A node that the state service refuses alone would
-/// else start for `blind_limit` what another has confirmed as cancelled. One that follows the log
+/// else start for `disconnected_lease_limit` what another has confirmed as cancelled. One that follows the log
 /// undisturbed has read it within half of this.
 const STARTS_WITHIN: Duration = Duration::from_secs(3);
 
@@ -179,7 +179,7 @@
         return None; // it changed hands while the answer waited
     }
     let mut live = core.workers.live.remove(&report.machine)?;
-    let cancelled = node.heard().cancelled.clone();
+    let cancelled = node.peer_status().cancelled.clone();
     let pending = Pending {
         stops: &core.workers.stops,
         plans: &core.plans,
@@ -245,7 +245,7 @@
     live.taken_at = report
         .notice_s
         .map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
-    let cancelled = node.heard().cancelled.clone();
+    let cancelled = node.peer_status().cancelled.clone();
     let pending = Pending {
         stops: &core.workers.stops,
         plans: &core.plans,
@@ -320,7 +320,7 @@
     };
     let ratio = ran.as_secs_f64() / spec.estimate_s;
     let class = spec.class.clone();
-    let learned = core.learned.entry(class).or_default();
+    let learned = core.runtime_estimates.entry(class).or_default();
     let relative = ratio / learned.mean().max(0.05);
     live.slowness = (live.slowness * 0.8 + relative * 0.2).clamp(0.7, 6.0);
     learned.add(ratio);
--- a/src/workers/service/tests.rs
+++ b/src/workers/service/tests.rs
@@ -1,4 +1,4 @@
-//! Kept traces of reports as they come, early, late or from a machine that hears nothing.
+//! Versioned traces of reports as they come, early, late or from a machine that hears nothing.
 
 use super::*;
 use crate::fleet::{Rental, Rented, Use};
@@ -252,7 +252,7 @@
     let runs = json!([{"sack": "job-1/0", "turn": 1, "stage": "running"}]);
     scene.report(4, 1, 4, 7, runs.clone());
     scene.trace.push_str("-- told that it is cancelled\n");
-    scene.node.heard().tell("job-1");
+    scene.node.peer_status().note_cancelled("job-1");
     scene.report(5, 1, 5, 7, runs);
     scene.report(6, 1, 6, 7, json!([]));
     insta::assert_snapshot!(scene.trace, @r#"
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -1,4 +1,4 @@
-//! Kept traces: a report in, facts and orders out. Each names the failure that it is about.
+//! Versioned traces: a report in, facts and orders out. Each names the failure that it is about.
 
 use super::*;
 use crate::state::client::Pair;
@@ -149,7 +149,7 @@
     let first = trace_with(&replica, empty(), &stops, &none);
     let mut plans = Plans::default();
     let held = replica.entry("job-1", 0);
-    plans.insert(&id, &held, Entry::Waiting { last: 1 });
+    plans.insert(&id, held, Entry::Waiting { last: 1 });
     let second = trace_with(&replica, empty(), &Stops::new(), &plans);
     insta::assert_snapshot!(format!("withdrawn\n{first}not recorded yet\n{second}"), @r#"
     withdrawn
