Make a workspace: the state service's client and the stand-ins in packages

Subsystems to come need the state service's client and the stand-ins without depending on the daemon. rowanmill-state holds the client, its part of the limits and the HTTP client; its follow takes the prefix. rowanmill-testing holds the stand-ins for state service, cloud and workers. Both deny missing documentation.

--- a/src/state/budget.rs
+++ b/crates/rowanmill-state/src/budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+/// A rate with bursts of one second's worth.
 #[derive(Debug)]
 pub struct Budget {
     rate: f64,
@@ -14,11 +15,14 @@
 /// one submission in twelve came when less than one change was left, and was a second late.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Need {
+    /// A user waits for it.
     User,
+    /// Nobody waits for it.
     Own,
 }
 
 impl Budget {
+    /// A full budget.
     pub fn new(rate: f64, now: Instant) -> Self {
         Self {
             rate,
@@ -40,6 +44,7 @@
         self.level = self.level.min(rate);
     }
 
+    /// How many a second.
     pub fn rate(&self) -> f64 {
         self.rate
     }
@@ -59,6 +64,7 @@
         self.level = self.level.min(0.0);
     }
 
+    /// Takes so many, even if that leaves less than nothing.
     pub fn take(&mut self, count: f64, now: Instant) {
         self.refill(now);
         self.level -= count;
--- a/src/state/client.rs
+++ b/crates/rowanmill-state/src/client.rs
@@ -1,8 +1,7 @@
 //! Calls to the state service, each with its own course for every kind of answer.
 
-use super::budget::{Budget, Need};
+use crate::budget::{Budget, Need};
 use crate::http::{CallError, Client};
-use crate::settings::StateShare;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -14,28 +13,54 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+/// One node's part of the state service's limits.
+#[derive(Debug, Clone, Copy)]
+pub struct StateShare {
+    /// Requests a second.
+    pub requests: f64,
+    /// Puts and drops a second.
+    pub writes: f64,
+}
+
+/// A key and the revision that a transaction requires of it; 0 where it must not exist.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub struct Guard {
+    /// The key.
     pub k: String,
+    /// The revision of its last change.
     pub mark: u64,
 }
 
+impl Guard {
+    /// Requires that a key does not exist.
+    pub fn absent(key: String) -> Self {
+        Self { k: key, mark: 0 }
+    }
+}
+
+/// One change of a transaction.
 #[derive(Debug, Clone, Serialize)]
 #[serde(untagged)]
 pub enum Op {
+    /// Puts a value.
     Set {
+        /// The key.
         set: String,
         /// Written once, and sent as it is.
         data: Box<RawValue>,
         #[serde(rename = "tenancy", skip_serializing_if = "Option::is_none")]
+        /// The key is removed when this lease ends.
         lease: Option<u64>,
     },
+    /// Removes a key.
     Drop {
+        /// The key.
         drop: String,
     },
 }
 
 impl Op {
+    /// Puts a value on no lease.
     pub fn set(key: String, value: &impl Serialize) -> Self {
         let data = serde_json::value::to_raw_value(value).expect("our records are plain data");
         Op::Set {
@@ -45,6 +70,7 @@
         }
     }
 
+    /// Removes a key.
     pub fn drop(key: String) -> Self {
         Op::Drop { drop: key }
     }
@@ -58,6 +84,7 @@
     }
 }
 
+/// Why a transaction has no positive answer.
 #[derive(Debug, thiserror::Error)]
 pub enum TxnError {
     /// A guard did not hold; nothing was changed.
@@ -78,50 +105,70 @@
     Unknown,
 }
 
+/// One entry of the log.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Change {
+    /// The key, if it was put.
     pub set: Option<String>,
+    /// The key, if it was removed.
     pub drop: Option<String>,
     /// Read only once it is known whose record it is: most of what nodes follow is pages.
     #[serde(default)]
     pub data: Option<Box<RawValue>>,
+    /// The revision of the change.
     pub mark: u64,
 }
 
+/// What the log holds after a revision.
 #[derive(Debug, Deserialize)]
 pub struct Followed {
+    /// All changes up to this revision are in.
     pub ledger: u64,
+    /// The changes, in order.
     #[serde(default)]
     pub log: Vec<Change>,
 }
 
 impl Followed {
+    /// Reads an answer of [`StateClient::follow`].
     pub fn decode(body: &[u8]) -> Result<Self, ReadError> {
         serde_json::from_slice(body).map_err(|_| ReadError::Failed)
     }
 }
 
+/// A key with its value.
 #[derive(Debug, Deserialize)]
 pub struct Pair {
+    /// The key.
     pub k: String,
+    /// The value as it came.
     pub data: Box<RawValue>,
+    /// The revision of its last change.
     pub mark: u64,
 }
 
+/// A page of the keys under a prefix.
 #[derive(Debug, Deserialize)]
 pub struct Listing {
+    /// The keys, in order.
     pub pairs: Vec<Pair>,
+    /// Whether more follow.
     #[serde(default)]
     pub more: bool,
+    /// The revision at which the page was read.
     pub ledger: u64,
 }
 
+/// Why a reading has no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum ReadError {
+    /// The service keeps only the last changes: the keys must be listed anew.
     #[error("the log no longer reaches back that far")]
     TooOld,
+    /// The lease is over.
     #[error("gone")]
     Gone,
+    /// Nothing is known.
     #[error("no answer")]
     Failed,
 }
@@ -146,6 +193,7 @@
 const FOLLOW_PART: f64 = 0.25;
 const SYNC_PART: f64 = 0.3;
 
+/// Calls to one state service, within one node's share of its limits.
 pub struct StateClient {
     http: Client,
     /// Our part of the limits, and of those that will hold from some moment on.
@@ -155,6 +203,7 @@
     writes: Mutex<Budget>,
     /// Another node could not write all that it had to.
     others_lack: AtomicBool,
+    /// What was asked so far.
     pub used: Used,
     /// When the rate of puts was last taken, and how many there had been.
     rated: Mutex<(Instant, u64)>,
@@ -163,10 +212,15 @@
 /// What this node asked of the state service, counted up.
 #[derive(Debug, Default)]
 pub struct Used {
+    /// Requests of any kind.
     pub requests: AtomicU64,
+    /// Puts and drops.
     pub puts: AtomicU64,
+    /// Guards of transactions.
     pub guards: AtomicU64,
+    /// Requests refused for being over a limit.
     pub refused: AtomicU64,
+    /// Bytes of the log that were read.
     pub followed_bytes: AtomicU64,
 }
 
@@ -199,6 +253,7 @@
 }
 
 impl StateClient {
+    /// A client with `share` of the limits of now, and `next` of those to come.
     pub fn new(addr: SocketAddr, share: StateShare, next: StateShare) -> Self {
         Self {
             http: Client::new(addr, 6),
@@ -218,6 +273,7 @@
         Duration::from_secs_f64(1.0 / (self.part().requests * FOLLOW_PART).max(1.0))
     }
 
+    /// The least time between two readings that polls wait for.
     pub fn sync_gap(&self) -> Duration {
         Duration::from_secs_f64(1.0 / (self.part().requests * SYNC_PART).max(1.0))
     }
@@ -245,6 +301,7 @@
         (left / (writes.rate() * 0.8)).clamp(0.0, most)
     }
 
+    /// The puts and drops a second that this node may send from now on.
     pub fn set_write_rate(&self, rate: f64) {
         let mut writes = self.writes.lock().unwrap();
         writes.set_rate(rate, Instant::now());
@@ -311,6 +368,7 @@
         answer
     }
 
+    /// One transaction: all changes under all guards, or none.
     pub async fn transact(&self, guards: &[Guard], then: &[Op]) -> Result<u64, TxnError> {
         #[derive(Serialize)]
         struct Txn<'a> {
@@ -359,11 +417,15 @@
         }
     }
 
-    /// The changes after a revision, as they came: `Followed::decode` reads them.
-    pub async fn follow(&self, from: u64, hold: Duration) -> Result<Bytes, ReadError> {
+    /// The changes under a prefix after a revision, as they came: `Followed::decode` reads them.
+    pub async fn follow(
+        &self,
+        prefix: &str,
+        from: u64,
+        hold: Duration,
+    ) -> Result<Bytes, ReadError> {
         let path = format!(
-            "/follow?prefix={}&from={from}&holdMs={}",
-            super::LIVE,
+            "/follow?prefix={prefix}&from={from}&holdMs={}",
             hold.as_millis()
         );
         let answer = self
@@ -379,14 +441,24 @@
         }
     }
 
+    /// A key's value as it is now.
     pub async fn get(&self, key: &str) -> Result<Option<Value>, ReadError> {
+        let Some(pair) = self.get_pair(key).await? else {
+            return Ok(None);
+        };
+        serde_json::from_str(pair.data.get())
+            .map(Some)
+            .map_err(|_| ReadError::Failed)
+    }
+
+    /// A key's value as it is now, with the revision of its last change.
+    pub async fn get_pair(&self, key: &str) -> Result<Option<Pair>, ReadError> {
         let path = format!("/store/{key}");
         let answer = self
             .call(Method::GET, &path, Bytes::new(), CALL_LIMIT)
             .await;
         match answer {
             Ok((StatusCode::OK, body)) => serde_json::from_slice::<Pair>(&body)
-                .and_then(|pair| serde_json::from_str(pair.data.get()))
                 .map(Some)
                 .map_err(|_| ReadError::Failed),
             Ok((StatusCode::NOT_FOUND, _)) => Ok(None),
@@ -394,6 +466,24 @@
         }
     }
 
+    /// All keys under a prefix, and the revision from which the log continues them. The pages of
+    /// the listing are of different moments; the log from the first one on makes them agree.
+    pub async fn list_all(&self, prefix: &str) -> Result<(Vec<Pair>, u64), ReadError> {
+        let mut all: Vec<Pair> = Vec::new();
+        let mut revision = None;
+        loop {
+            let from = all.last().map(|p| p.k.clone());
+            let listing = self.list(prefix, from.as_deref()).await?;
+            let first = *revision.get_or_insert(listing.ledger);
+            let ended = !listing.more || listing.pairs.is_empty();
+            all.extend(listing.pairs);
+            if ended {
+                return Ok((all, first));
+            }
+        }
+    }
+
+    /// A page of the keys under a prefix, beginning after `from`.
     pub async fn list(&self, prefix: &str, from: Option<&str>) -> Result<Listing, ReadError> {
         let from = from.map(|k| format!("&from={k}")).unwrap_or_default();
         let path = format!("/store?prefix={prefix}{from}&limit=1000");
@@ -408,6 +498,7 @@
         }
     }
 
+    /// A new lease of this length.
     pub async fn create_lease(&self, ttl: Duration) -> Result<u64, ReadError> {
         let body = format!("{{\"ttlMs\":{}}}", ttl.as_millis());
         let answer = self
@@ -421,6 +512,7 @@
         }
     }
 
+    /// Gives a lease its full time again.
     pub async fn extend_lease(&self, lease: u64) -> Result<(), ReadError> {
         let path = format!("/leases/{lease}/extend");
         match self
@@ -433,6 +525,7 @@
         }
     }
 
+    /// Ends a lease at once, and removes the keys attached to it.
     pub async fn end_lease(&self, lease: u64) -> Result<(), ReadError> {
         let path = format!("/leases/{lease}");
         match self
--- a/src/http.rs
+++ b/crates/rowanmill-state/src/http.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
+/// Why a call has no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
     /// The connection never came up: the request was not executed.
@@ -20,6 +21,7 @@
     Unanswered,
 }
 
+/// Calls to one address over kept connections.
 pub struct Client {
     addr: SocketAddr,
     host: String,
@@ -30,6 +32,7 @@
 const MOST_BODY: usize = 64 << 20;
 
 impl Client {
+    /// A client that keeps at most so many idle connections.
     pub fn new(addr: SocketAddr, most_idle: usize) -> Self {
         Self {
             addr,
@@ -69,6 +72,7 @@
         Ok(sender)
     }
 
+    /// One request, answered within the limit or not at all.
     pub async fn call(
         &self,
         method: Method,
--- a/src/testing/cloud.rs
+++ b/crates/rowanmill-testing/src/cloud.rs
@@ -1,7 +1,7 @@
 //! A cloud whose machines run workers: they report, heed tokens and leases, and run each task for
 //! a set time. Whatever breaks a rule is noted, by what the machines themselves see.
 
-use super::{Asked, Reply, Times, ask};
+use super::{Asked, Handler, Times, ask};
 use hyper::Method;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -9,6 +9,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// What the machines see, whichever controllers they belong to. Clouds may share one world: then a
+/// task that runs on machines of two clouds is noted too.
 #[derive(Default)]
 pub struct World {
     machines: BTreeMap<String, tokio::task::AbortHandle>,
@@ -22,20 +24,26 @@
     pub needs: HashMap<String, Vec<String>>,
     /// Jobs that users were told are cancelled, and when first.
     cancelled: HashMap<String, Instant>,
-    /// Machines that do nothing, that reach no controller, and that no answer reaches.
+    /// Machines that do nothing.
     pub hung: HashSet<String>,
+    /// Machines that reach no controller.
     pub mute: HashSet<String>,
+    /// Machines that no answer reaches.
     pub deaf: HashSet<String>,
     /// Sessions that ended with tasks.
     pub lapses: usize,
     /// How often each task started.
     pub started: BTreeMap<String, usize>,
+    /// Starts of all tasks.
     pub starts: usize,
+    /// Most tasks that ran at a time.
     pub most_at_once: usize,
+    /// Rules that were broken.
     pub broken: Vec<String>,
 }
 
 impl World {
+    /// Whether no task runs.
     pub fn nothing_runs(&self) -> bool {
         self.on.is_empty()
     }
@@ -47,15 +55,18 @@
             .or_insert_with(Instant::now);
     }
 
+    /// How many tasks of a job run.
     pub fn tasks_of(&self, job: &str) -> usize {
         self.on.keys().filter(|task| job_of(task) == job).count()
     }
 
+    /// The machines that are there.
     pub fn machines(&self) -> HashSet<String> {
         let there = self.machines.keys().filter(|m| !self.released.contains(*m));
         there.cloned().collect()
     }
 
+    /// The machines that run tasks of a job.
     pub fn machines_of(&self, job: &str) -> HashSet<String> {
         let on = self.on.iter().filter(|(task, _)| job_of(task) == job);
         on.map(|(_, machine)| machine.clone()).collect()
@@ -84,8 +95,10 @@
     task.split('/').next().unwrap_or(task)
 }
 
+/// A cloud, and the workers on its machines.
 #[derive(Clone)]
 pub struct Cloud {
+    /// What its machines see.
     pub world: Arc<Mutex<World>>,
     controllers: Vec<SocketAddr>,
     task_takes: Duration,
@@ -93,6 +106,7 @@
 }
 
 impl Cloud {
+    /// A cloud whose workers report to these controllers and run each task for so long.
     pub fn new(controllers: Vec<SocketAddr>, task_takes: Duration, times: Times) -> Self {
         Self {
             world: Arc::default(),
@@ -102,7 +116,8 @@
         }
     }
 
-    pub fn handler(&self) -> Arc<dyn Fn(Asked) -> Reply + Send + Sync> {
+    /// Answers the cloud's requests.
+    pub fn handler(&self) -> Handler {
         let cloud = self.clone();
         Arc::new(move |asked| {
             let cloud = cloud.clone();
--- a/src/testing/state.rs
+++ b/crates/rowanmill-testing/src/state.rs
@@ -1,6 +1,6 @@
 //! A state service: keys with marks, guarded changes, leases and the log.
 
-use super::{Asked, Reply};
+use super::{Asked, Handler};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -39,14 +39,18 @@
     HeldBack,
 }
 
-/// What the service takes: bytes of a value, changes of a transaction, changes a second.
+/// What the service takes.
 #[derive(Clone, Copy)]
 pub struct Limits {
+    /// Bytes of a value.
     pub value: usize,
+    /// Changes of a transaction.
     pub ops: usize,
+    /// Changes a second.
     pub rate: f64,
 }
 
+/// A state service in memory.
 #[derive(Clone, Default)]
 pub struct State(Arc<Mutex<Store>>);
 
@@ -74,6 +78,7 @@
         store.fates.push((part.to_owned(), fate, count));
     }
 
+    /// Whether a transaction is held back.
     pub fn holds_back(&self) -> bool {
         !self.0.lock().unwrap().held_back.is_empty()
     }
@@ -86,6 +91,7 @@
         taken.count()
     }
 
+    /// How many were refused for being too large, too many at once, or too many a second.
     pub fn refused(&self) -> [usize; 3] {
         self.0.lock().unwrap().refused
     }
@@ -98,7 +104,8 @@
             .collect()
     }
 
-    pub fn handler(&self) -> Arc<dyn Fn(Asked) -> Reply + Send + Sync> {
+    /// Answers the requests of all controllers.
+    pub fn handler(&self) -> Handler {
         let state = self.clone();
         Arc::new(move |asked| {
             let state = state.clone();
@@ -117,7 +124,7 @@
 
     /// A way to the service of one controller alone, which can be cut: it then gets 503, and its
     /// leases run out while the others are served.
-    pub fn line(&self, cut: Arc<AtomicBool>) -> Arc<dyn Fn(Asked) -> Reply + Send + Sync> {
+    pub fn line(&self, cut: Arc<AtomicBool>) -> Handler {
         let whole = self.handler();
         Arc::new(move |asked| match cut.load(Ordering::Relaxed) {
             true => Box::pin(async { (503, json!({"error": "trouble"})) }),
--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -1,8 +1,8 @@
 //! The cloud: its catalogue, renting and releasing, and the list of machines, which lags.
 
-use crate::http::{CallError, Client};
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
+use rowanmill_state::http::{CallError, Client};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -9,12 +9,12 @@
 use crate::metrics::Duty;
 use crate::node::{Core, Node};
 use crate::pipelines;
-use crate::state::budget::Need;
 use crate::state::replica::Job;
 use crate::state::{
     ASSIGNMENT_KEY, FORMS_KEY, Guard, MOST_BYTES, Op, Replica, TxnError, final_key, job_key,
     page_key,
 };
+use rowanmill_state::Need;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/src/jobs/writer/tests.rs
+++ b/src/jobs/writer/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::jobs::Layout;
-use crate::state::client::Pair;
+use rowanmill_state::Pair;
 use serde_json::{Value, json};
 use std::time::Instant;
 
@@ -386,7 +386,7 @@
 fn a_late_answer_to_our_own_change_brings_nothing_back() {
     let (_, mut core) = core();
     let record = core.replica.fleet.rentals["r-1"].record.clone();
-    let drop = crate::state::client::Change {
+    let drop = rowanmill_state::Change {
         set: None,
         drop: Some("r/m/r-1".into()),
         data: None,
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,6 @@
 mod api;
 mod cloud;
 mod fleet;
-mod http;
 mod jobs;
 mod membership;
 mod mesh;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -11,13 +11,11 @@
 use crate::node::{Core, Node, age_s, wall_ms};
 use crate::placement::views::{due_after, kinds_for, room_of, urgency_of};
 use crate::placement::{By, Need};
-use crate::state::budget::Need as Budget;
 use crate::state::replica::{LeaderRecord, PresenceRecord, Versioned};
-use crate::state::{
-    ASSIGNMENT_KEY, Guard, LEADER_KEY, Op, TxnError, client::ReadError, presence_key, rental_key,
-};
+use crate::state::{ASSIGNMENT_KEY, Guard, LEADER_KEY, Op, TxnError, presence_key, rental_key};
 use assignment::{Assignment, Demand, Member, Shared, Wanted, Work, part_jobs, part_machines};
 use probe::Probe;
+use rowanmill_state::{Need as Budget, ReadError};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -5,8 +5,8 @@
 
 use crate::jobs::Entry;
 use crate::node::{Core, Node};
-use crate::state::client::Used;
 pub use processor_time::{Duty, ProcessorTime};
+use rowanmill_state::Used;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
--- a/src/pipelines/service.rs
+++ b/src/pipelines/service.rs
@@ -4,8 +4,8 @@
 use crate::jobs::{Final, Stored};
 use crate::membership;
 use crate::node::{Core, Node, wall_ms};
-use crate::state::budget::Need;
 use crate::state::{Guard, Op, final_key, job_key};
+use rowanmill_state::Need;
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! The settings file that the platform hands over: read, checked, named by field when wrong.
 
 use crate::jobs::pages::Layout;
+use rowanmill_state::StateShare;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -155,13 +156,6 @@
     }
 }
 
-/// One node's part of the state service's limits.
-#[derive(Debug, Clone, Copy)]
-pub struct StateShare {
-    pub requests: f64,
-    pub writes: f64,
-}
-
 impl Settings {
     pub fn state_share(&self) -> StateShare {
         let nodes = f64::from(self.params.size);
--- a/src/state/follow.rs
+++ b/src/state/follow.rs
@@ -1,9 +1,9 @@
 //! Keeps the replica up to date, and proves contact with the state service.
 
-use super::client::{Followed, Pair, ReadError};
-use super::{LIVE, StateClient};
+use super::LIVE;
 use crate::metrics::Duty;
 use crate::node::Node;
+use rowanmill_state::{Followed, ReadError};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -75,30 +75,15 @@
 }
 
 async fn follow(node: &Node, from: u64, hold: Duration) -> Result<Followed, ReadError> {
-    let body = node.state.follow(from, hold).await?;
+    let body = node.state.follow(LIVE, from, hold).await?;
     let _charge = node.processor_time.charge(Duty::Decode);
     Followed::decode(&body)
 }
 
 async fn load(node: &Node) -> Result<(), ReadError> {
-    let (pairs, revision) = read_all(&node.state).await?;
+    let (pairs, revision) = node.state.list_all(LIVE).await?;
     node.core().replica.reset(pairs, revision);
     // The pages of the listing are of different moments; the log from the first one on makes
     // them agree.
     turn(node, Duration::ZERO).await
 }
-
-async fn read_all(state: &StateClient) -> Result<(Vec<Pair>, u64), ReadError> {
-    let mut all: Vec<Pair> = Vec::new();
-    let mut revision = None;
-    loop {
-        let from = all.last().map(|p| p.k.clone());
-        let listing = state.list(LIVE, from.as_deref()).await?;
-        let first = *revision.get_or_insert(listing.ledger);
-        let ended = !listing.more || listing.pairs.is_empty();
-        all.extend(listing.pairs);
-        if ended {
-            return Ok((all, first));
-        }
-    }
-}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,15 +1,13 @@
 //! The state service: its client, our share of its limits, and the replica kept of our records.
 
-pub mod budget;
-pub mod client;
 pub mod follow;
 pub mod replica;
 #[cfg(test)]
 mod tests;
 
 use crate::jobs::PageId;
-pub use client::{Guard, Op, StateClient, TxnError};
 pub use replica::Replica;
+pub use rowanmill_state::{Guard, Op, StateClient, TxnError};
 
 /// Most bytes of a transaction's changes: the service takes 64 KiB in all.
 pub const MOST_BYTES: usize = 44 << 10;
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -1,13 +1,13 @@
 //! A copy of all live records, kept by following the state service's log. Every node has one, so
 //! that polls are answered and a takeover begins without reading everything anew.
 
-use super::client::{Change, Pair};
 use crate::fleet::Fleet;
 use crate::jobs::{Entry, Final, JobRecord, Layout, Page, PageId, Stage, Stored};
 use crate::membership::assignment::{Assignment, Member};
 use crate::membership::schema_versions::SchemaVersions;
 use crate::pipelines::{Need, Pipelines};
 use crate::renting::ForecastSummaryRecord;
+use rowanmill_state::{Change, Pair};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
--- a/src/testing/fault_scenarios.rs
+++ b/src/testing/fault_scenarios.rs
@@ -1,8 +1,9 @@
 //! Where two troubles meet: for each meeting the order of events that would break a rule.
 
-use super::state::Fate;
-use super::tests::{Site, job, until};
-use super::{Controller, PRESENT, Times, Version, free_addr, serve};
+use super::tests::{Site, job};
+use super::{Controller, PRESENT, Times, Version};
+use rowanmill_testing::state::Fate;
+use rowanmill_testing::{free_addr, serve, until};
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/src/testing/load_profile.rs
+++ b/src/testing/load_profile.rs
@@ -2,8 +2,6 @@
 //! its listeners: reports and submissions are handed to it directly, and the state service and the cloud
 //! are the stand-ins. `docs/design.md` says how to start it.
 
-use super::state::State;
-use super::{Asked, Reply, serve};
 use crate::api::Server;
 use crate::api::limit::Limit;
 use crate::api::users;
@@ -14,6 +12,8 @@
 use http_body_util::BodyExt;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use rowanmill_testing::state::State;
+use rowanmill_testing::{Asked, Reply, serve};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,26 +22,26 @@
 use tokio::net::TcpListener;
 
 /// The sizes of a deployment as far as one controller meets them.
-struct Load {
-    name: &'static str,
-    report_s: f64,
-    value_kb: f64,
-    plain: Kind,
-    with_gpus: Kind,
-    gang_sizes: &'static [u32],
+pub(super) struct Load {
+    pub name: &'static str,
+    pub report_s: f64,
+    pub value_kb: f64,
+    pub plain: Kind,
+    pub with_gpus: Kind,
+    pub gang_sizes: &'static [u32],
     /// Jobs at the start, and one more each so many seconds.
-    gangs: u32,
-    gang_every_s: f64,
-    arrays: u32,
-    array_every_s: f64,
-    largest_array: u32,
-    array_task_s: f64,
+    pub gangs: u32,
+    pub gang_every_s: f64,
+    pub arrays: u32,
+    pub array_every_s: f64,
+    pub largest_array: u32,
+    pub array_task_s: f64,
 }
 
-struct Kind {
-    name: &'static str,
-    most: usize,
-    boot_s: f64,
+pub(super) struct Kind {
+    pub name: &'static str,
+    pub most: usize,
+    pub boot_s: f64,
 }
 
 /// The part of xanhgio-fleet-lean that its busiest controller has.
@@ -96,24 +96,24 @@
 const GANG_TASK_S: f64 = 60.0;
 
 /// What a machine runs, as its worker would report it.
-struct Machine {
-    kind: &'static str,
-    token: u64,
-    seq: u64,
-    reported: Instant,
+pub(super) struct Machine {
+    pub kind: &'static str,
+    pub token: u64,
+    pub seq: u64,
+    pub reported: Instant,
     /// Attempt and end of each task.
-    tasks: BTreeMap<String, (u64, Instant)>,
+    pub tasks: BTreeMap<String, (u64, Instant)>,
 }
 
 /// The machines that were rented and are not released, by name.
-type Fleet = Arc<Mutex<BTreeMap<String, Machine>>>;
+pub(super) type Fleet = Arc<Mutex<BTreeMap<String, Machine>>>;
 
 #[derive(Clone)]
-struct Cloud {
-    load: &'static Load,
-    fleet: Fleet,
-    hires: Arc<Mutex<BTreeMap<String, Vec<String>>>>,
-    names: Arc<Mutex<u32>>,
+pub(super) struct Cloud {
+    pub load: &'static Load,
+    pub fleet: Fleet,
+    pub hires: Arc<Mutex<BTreeMap<String, Vec<String>>>>,
+    pub names: Arc<Mutex<u32>>,
 }
 
 impl Cloud {
@@ -121,7 +121,7 @@
         [&self.load.plain, &self.load.with_gpus]
     }
 
-    fn handle(&self, asked: &Asked) -> (u16, Value) {
+    pub fn handle(&self, asked: &Asked) -> (u16, Value) {
         match asked.path.as_str() {
             "/catalog" => (200, self.catalog()),
             "/rentals" if asked.body["hire"].is_string() => self.rent(&asked.body),
@@ -182,7 +182,7 @@
 }
 
 impl Machine {
-    fn report(&mut self, name: &str, now: Instant) -> Value {
+    pub fn report(&mut self, name: &str, now: Instant) -> Value {
         self.seq += 1;
         self.reported = now;
         let tasks = self
@@ -197,7 +197,7 @@
             "sacks": tasks.collect::<Vec<_>>()})
     }
 
-    fn obey(&mut self, answer: &Value, task_s: &dyn Fn(&str) -> f64, now: Instant) {
+    pub fn obey(&mut self, answer: &Value, task_s: &dyn Fn(&str) -> f64, now: Instant) {
         self.token = answer["warrant"].as_u64().unwrap();
         for order in answer["orders"].as_array().unwrap() {
             let task = order["sack"].as_str().unwrap();
@@ -261,7 +261,7 @@
         "dueS": deadline})
 }
 
-async fn body_of(answer: crate::api::Answer) -> Value {
+pub(super) async fn body_of(answer: crate::api::Answer) -> Value {
     let body = answer.into_body().collect().await.unwrap().to_bytes();
     serde_json::from_slice(&body).unwrap()
 }
@@ -336,7 +336,7 @@
 }
 
 /// Starts a stand-in on a thread of its own, so that it is no part of the controller's profile.
-fn serve_apart(handler: Arc<dyn Fn(Asked) -> Reply + Send + Sync>) -> SocketAddr {
+pub(super) fn serve_apart(handler: Arc<dyn Fn(Asked) -> Reply + Send + Sync>) -> SocketAddr {
     let (tell, told) = std::sync::mpsc::channel();
     std::thread::Builder::new()
         .name("stand-in".into())
--- a/src/testing/tests.rs
+++ b/src/testing/tests.rs
@@ -1,9 +1,10 @@
 //! Controllers against the stand-ins, in real time.
 
-use super::cloud::Cloud;
-use super::state::{Limits, State};
-use super::{Controller, PRESENT, Seat, Times, USUAL, Version, ask, free_addr, serve};
+use super::{Controller, PRESENT, Seat, Times, USUAL, Version};
 use hyper::Method;
+use rowanmill_testing::cloud::Cloud;
+use rowanmill_testing::state::{Limits, State};
+use rowanmill_testing::{ask, free_addr, serve, until};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -111,14 +112,6 @@
     }
 }
 
-pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
-    let end = Instant::now() + Duration::from_secs(40);
-    while !holds().await {
-        assert!(Instant::now() < end, "waited in vain: {what}");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-}
-
 pub fn job(id: &str, tasks: u32, cpus: f64) -> Value {
     json!({"nameId": id, "grist": "c", "crew": "t", "shape": "array", "urgency": "standard",
         "sacks": tasks, "cpus": cpus, "cards": 0.0, "memGb": 1.0, "mould": "i", "pullGb": 0.1,
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -1,7 +1,7 @@
 //! Versioned traces: a report in, facts and orders out. Each names the failure that it is about.
 
 use super::*;
-use crate::state::client::Pair;
+use rowanmill_state::Pair;
 use serde_json::{Value, json};
 
 const TOKEN: u64 = 20;
