Cells that share work: a ledger of owners, takeover of a lost cell, spill, cancellation

Need: a cell that is lost must not hold its jobs, and work that one cell cannot place should go to another, with one final answer. While the ledger is out for all, every other controller's word that it has no contact either stands in place of a reading.

Not there yet: protection, the client, process tests of partitions.

--- a/crates/rowanmill-state/src/client.rs
+++ b/crates/rowanmill-state/src/client.rs
@@ -70,6 +70,18 @@
         }
     }
 
+    /// The same put, on a lease: the key is removed when that ends.
+    pub fn on_lease(self, lease: u64) -> Self {
+        match self {
+            Op::Set { set, data, .. } => Op::Set {
+                set,
+                data,
+                lease: Some(lease),
+            },
+            drop => drop,
+        }
+    }
+
     /// Removes a key.
     pub fn drop(key: String) -> Self {
         Op::Drop { drop: key }
--- a/crates/rowanmill-testing/src/cloud.rs
+++ b/crates/rowanmill-testing/src/cloud.rs
@@ -15,7 +15,6 @@
 pub struct World {
     machines: BTreeMap<String, tokio::task::AbortHandle>,
     released: HashSet<String>,
-    hires: HashMap<String, Vec<String>>,
     /// Which machine each running task is on.
     on: HashMap<String, String>,
     /// Tasks that completed.
@@ -100,6 +99,8 @@
 pub struct Cloud {
     /// What its machines see.
     pub world: Arc<Mutex<World>>,
+    /// The machines of each request of its own controllers.
+    hires: Arc<Mutex<HashMap<String, Vec<String>>>>,
     controllers: Vec<SocketAddr>,
     task_takes: Duration,
     times: Times,
@@ -110,12 +111,32 @@
     pub fn new(controllers: Vec<SocketAddr>, task_takes: Duration, times: Times) -> Self {
         Self {
             world: Arc::default(),
+            hires: Arc::default(),
             controllers,
             task_takes,
             times,
         }
     }
 
+    /// The same cloud, whose machines are seen along with those of others.
+    pub fn in_world(mut self, world: &Arc<Mutex<World>>) -> Self {
+        self.world = world.clone();
+        self
+    }
+
+    /// Ends all its machines at once, with what runs on them.
+    pub fn power_off(&self) {
+        let hires = self.hires.lock().unwrap();
+        let mut world = self.world.lock().unwrap();
+        for name in hires.values().flatten() {
+            if let Some(handle) = world.machines.get(name) {
+                handle.abort();
+            }
+            world.released.insert(name.clone());
+            world.on.retain(|_, on| on != name);
+        }
+    }
+
     /// Answers the cloud's requests.
     pub fn handler(&self) -> Handler {
         let cloud = self.clone();
@@ -136,7 +157,8 @@
             ),
             "/rentals" if asked.method == Method::POST => {
                 let hire = asked.body["hire"].as_str().unwrap().to_owned();
-                if let Some(names) = world.hires.get(&hire) {
+                let mut hires = self.hires.lock().unwrap();
+                if let Some(names) = hires.get(&hire) {
                     return (200, json!({"millstones": names}));
                 }
                 let first = world.machines.len();
@@ -149,7 +171,7 @@
                     let handle = tokio::spawn(worker.run()).abort_handle();
                     world.machines.insert(name.clone(), handle);
                 }
-                world.hires.insert(hire, names.clone());
+                hires.insert(hire, names.clone());
                 (200, json!({"millstones": names}))
             }
             "/rentals/release" => {
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -1,6 +1,7 @@
 //! Submissions, polls and cancellations.
 
 use super::{Answer, Server, come_back, error, json};
+use crate::cells::requests;
 use crate::jobs::{Final, JobRecord, JobSpec, SpecError, Stage, Stored, Submission, is_job_id};
 use crate::membership;
 use crate::metrics::{Duty, memory};
@@ -16,7 +17,7 @@
 use std::time::Duration;
 
 #[derive(Serialize)]
-struct Told<'a> {
+pub struct Told<'a> {
     #[serde(rename = "nameId")]
     id: &'a str,
     stage: Stage,
@@ -26,7 +27,18 @@
     running: Option<u32>,
 }
 
-fn told(id: &str, stage: Stage) -> Told<'_> {
+/// A job's stage and how far it is.
+pub fn told_progress(id: &str, stage: Stage, done: u32, running: u32) -> Answer {
+    let told = Told {
+        id,
+        stage,
+        done: Some(done),
+        running: Some(running),
+    };
+    json(StatusCode::OK, &told)
+}
+
+pub fn told(id: &str, stage: Stage) -> Told<'_> {
     Told {
         id,
         stage,
@@ -48,7 +60,7 @@
 }
 
 /// What is known of a job, with nothing older than the call.
-enum Known {
+pub enum Known {
     Live(Stage, u32, u32),
     Over(Final),
     Never,
@@ -68,7 +80,7 @@
     Some(Known::Live(job.stage(), job.done, job.placed))
 }
 
-async fn current_state(node: &Arc<Node>, id: &str) -> Known {
+pub async fn current_state(node: &Arc<Node>, id: &str) -> Known {
     // A final state never changes, so that memory may answer it at any time.
     if let Some(last) = node.core().replica.ended(id) {
         return Known::Over(last);
@@ -115,27 +127,18 @@
         return error(StatusCode::NOT_FOUND, "no such job");
     }
     let node = &server.node;
-    let ended = {
-        let mut core = node.core();
-        core.metrics.polls += 1;
-        core.replica.ended(id)
-    };
-    if let Some(last) = ended {
+    node.core().metrics.polls += 1;
+    if let Some(last) = ended_in_memory(node, id) {
         return json(StatusCode::OK, &told(id, last.into()));
     }
     let Some(_permit) = server.limit.enter(0.9) else {
         return busy();
     };
+    if let Some(cells) = &node.cells {
+        return requests::poll(node, cells, id).await;
+    }
     match current_state(node, id).await {
-        Known::Live(stage, done, placed) => json(
-            StatusCode::OK,
-            &Told {
-                id,
-                stage,
-                done: Some(done),
-                running: Some(placed),
-            },
-        ),
+        Known::Live(stage, done, placed) => told_progress(id, stage, done, placed),
         Known::Over(last) => json(StatusCode::OK, &told(id, last.into())),
         Known::Never => error(StatusCode::NOT_FOUND, "no such job"),
         Known::Unclear => no_state(),
@@ -153,12 +156,8 @@
         Err(problem) => return refuse(server, body, &problem).await,
     };
     let id = spec.id.clone();
-    let ended = {
-        let mut core = node.core();
-        core.metrics.submitted += 1;
-        core.replica.ended(&id)
-    };
-    if let Some(last) = ended {
+    node.core().metrics.submitted += 1;
+    if let Some(last) = ended_in_memory(node, &id) {
         return json(StatusCode::OK, &told(&id, last.into()));
     }
     let Some(_permit) = server.limit.enter(0.8) else {
@@ -169,12 +168,14 @@
     }
     // A known job's state must be of now; for a new one the guards of its record say the same.
     let seems_known = node.core().replica.knows(&id);
-    let mut record = JobRecord {
+    let record = JobRecord {
         spec,
         accepted_ms: wall_ms(),
         cancelled: false,
         placer: None,
         released_ms: None,
+        ledger: None,
+        withdrawn: false,
     };
     let verdict = check_acceptance(node, &record.spec, &awaits);
     let verdict = match (verdict, fits(node, &record, &awaits)) {
@@ -183,6 +184,17 @@
         (Verdict::Takes, _) if node.memory.is_short(memory::allocated()) => Verdict::NoMemory,
         (verdict, true) => verdict,
     };
+    let (record, awaits, verdict) = match &node.cells {
+        None => (record, awaits, verdict),
+        Some(cells) => {
+            let (job, needs) = (record.clone(), awaits.clone());
+            match requests::submit(server, cells, job, needs, verdict).await {
+                Some(answer) => return answer,
+                None => (record, awaits, Verdict::Takes),
+            }
+        }
+    };
+    let mut record = record;
     if seems_known || verdict != Verdict::Takes {
         match current_state(node, &id).await {
             Known::Live(stage, ..) => return json(StatusCode::OK, &told(&id, stage)),
@@ -191,26 +203,8 @@
             Known::Never => {}
         }
     }
-    match verdict {
-        Verdict::Never(reason) => return error(StatusCode::UNPROCESSABLE_ENTITY, reason),
-        Verdict::TooLarge => {
-            return error(
-                StatusCode::BAD_REQUEST,
-                "the job is more than a record takes",
-            );
-        }
-        Verdict::Undecided => {
-            return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "no catalogue yet");
-        }
-        Verdict::NoMemory => {
-            let reason = "too little memory for more work";
-            return come_back(StatusCode::SERVICE_UNAVAILABLE, 2, reason);
-        }
-        Verdict::NotYet => {
-            let reason = "jobs that wait for others are taken once all controllers can";
-            return come_back(StatusCode::SERVICE_UNAVAILABLE, 3, reason);
-        }
-        Verdict::Takes => {}
+    if verdict != Verdict::Takes {
+        return refuse_for(&verdict);
     }
     let before = match what_is_before(node, &awaits).await {
         Ok(before) => before,
@@ -265,6 +259,34 @@
     }
 }
 
+/// The answer to a new job that is not taken.
+pub fn refuse_for(verdict: &Verdict) -> Answer {
+    let later = StatusCode::SERVICE_UNAVAILABLE;
+    match verdict {
+        Verdict::Never(reason) => error(StatusCode::UNPROCESSABLE_ENTITY, reason),
+        Verdict::TooLarge => {
+            let reason = "the job is more than a record takes";
+            error(StatusCode::BAD_REQUEST, reason)
+        }
+        Verdict::Undecided => come_back(later, 1, "no catalogue yet"),
+        Verdict::NoMemory => come_back(later, 2, "too little memory for more work"),
+        Verdict::NotYet => {
+            let reason = "jobs that wait for others are taken once all controllers can";
+            come_back(later, 3, reason)
+        }
+        Verdict::Takes => come_back(later, 1, "to be taken"),
+    }
+}
+
+/// How a job ended, if that is in memory: final states never change. Where there are cells, only what the
+/// ledger holds is told to users.
+fn ended_in_memory(node: &Node, id: &str) -> Option<Final> {
+    match &node.cells {
+        Some(cells) => cells.final_state(id).map(Final::from),
+        None => node.core().replica.ended(id),
+    }
+}
+
 /// What cannot be read as a submission. A job that was accepted is known whatever a repeat of it
 /// carries: a 400 would tell its user that it is not.
 async fn refuse(server: &Server, body: &[u8], problem: &SpecError) -> Answer {
@@ -275,6 +297,11 @@
     let Some(_permit) = server.limit.enter(0.8) else {
         return busy();
     };
+    if let Some(cells) = &server.node.cells
+        && let Some(answer) = requests::known_answer(&server.node, cells, &id).await
+    {
+        return answer;
+    }
     match current_state(&server.node, &id).await {
         Known::Live(stage, ..) => json(StatusCode::OK, &told(&id, stage)),
         Known::Over(last) => json(StatusCode::OK, &told(&id, last.into())),
@@ -345,7 +372,7 @@
 }
 
 /// Whether a job's record fits a value for as long as it is kept, whichever limit holds by then.
-fn fits(node: &Node, record: &JobRecord, awaits: &[String]) -> bool {
+pub fn fits(node: &Node, record: &JobRecord, awaits: &[String]) -> bool {
     let blocked = Stored::Blocked {
         record: record.clone(),
         awaits: awaits.to_vec(),
@@ -358,7 +385,7 @@
 const MORE_BYTES: usize = 160;
 
 #[derive(Debug, PartialEq)]
-enum Verdict {
+pub enum Verdict {
     Takes,
     Never(&'static str),
     TooLarge,
@@ -367,7 +394,7 @@
     NotYet,
 }
 
-fn check_acceptance(node: &Node, spec: &JobSpec, awaits: &[String]) -> Verdict {
+pub fn check_acceptance(node: &Node, spec: &JobSpec, awaits: &[String]) -> Verdict {
     let _charge = node.processor_time.charge(Duty::Users);
     if awaits.contains(&spec.id) {
         return Verdict::Never("`awaits` names the job itself");
@@ -416,12 +443,17 @@
         return error(StatusCode::NOT_FOUND, "no such job");
     }
     let node = &server.node;
-    if let Some(last) = node.core().replica.ended(id) {
+    if let Some(last) = ended_in_memory(node, id) {
         return json(StatusCode::OK, &told(id, last.into()));
     }
     let Some(_permit) = server.limit.enter(1.0) else {
         return busy();
     };
+    if let Some(cells) = &node.cells
+        && let Some(answer) = requests::abort(node, cells, id).await
+    {
+        return answer;
+    }
     for _ in 0..4 {
         match current_state(node, id).await {
             Known::Over(last) => return json(StatusCode::OK, &told(id, last.into())),
--- /dev/null
+++ b/src/cells/mod.rs
@@ -0,0 +1,393 @@
+//! This controller's part in the cells that share work: what `rowanmill-cells` asks of the scheduler, and
+//! what the ledger changes about users' requests and workers' reports. Without an operators' file there
+//! are no cells, and none of this does anything.
+
+pub mod requests;
+mod testimony;
+
+pub use testimony::{ASKED, answer};
+
+use crate::api::users::{Verdict, check_acceptance, fits};
+use crate::jobs::{Final, GivenUp, JobRecord, Stored, Submission};
+use crate::membership;
+use crate::node::{Core, Node, wall_ms};
+use crate::state::{Guard, Op, TxnError, final_key, given_up_key, job_key};
+use crate::workers::Report;
+use rowanmill_cells::record::Summary;
+use rowanmill_cells::{
+    Adoption, Cells, FinalState, LedgerJob, LocalJob, Scheduler, Stamp, StampedJob, Unavailable,
+    WorkerTimes,
+};
+use rowanmill_state::Need;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Instant;
+
+impl From<FinalState> for Final {
+    fn from(last: FinalState) -> Self {
+        match last {
+            FinalState::Done => Final::Done,
+            FinalState::Cancelled => Final::Cancelled,
+        }
+    }
+}
+
+/// What the cells' file is checked against.
+pub fn worker_times(settings: &crate::settings::Settings) -> WorkerTimes {
+    WorkerTimes {
+        lease: settings.lease(),
+        disconnected_lease_limit: settings.disconnected_lease_limit(),
+        state: settings.endpoints.state,
+    }
+}
+
+/// The scheduler as the cells reach it.
+pub struct CellScheduler {
+    node: Arc<Node>,
+    cells: Arc<Cells>,
+}
+
+/// Starts this controller's part in the cells, if there are any.
+pub fn start(node: &Arc<Node>) {
+    if let Some(cells) = &node.cells {
+        cells.start(Arc::new(CellScheduler::new(node, cells)));
+    }
+}
+
+/// A job that the ledger should know, by its record.
+fn stamped(id: &str, record: &JobRecord) -> Option<StampedJob> {
+    Some(StampedJob {
+        id: id.to_owned(),
+        stamp: record.ledger?,
+        stopped: record.cancelled,
+    })
+}
+
+/// Jobs with tasks on a machine, by the records or by its report, that the ledger should know.
+fn stamped_on(core: &Core, report: &Report) -> Vec<StampedJob> {
+    let recorded = core.replica.on.get(&report.machine).into_iter().flatten();
+    let recorded = recorded.map(|(job, _)| job.as_str());
+    let planned = core.plans.on(&report.machine).map(|(job, _)| job.as_str());
+    let reported = report.tasks.iter();
+    let reported = reported.filter_map(|task| crate::jobs::split_task(&task.task));
+    let reported = reported.map(|(job, _)| job);
+    let ids: BTreeSet<&str> = recorded.chain(planned).chain(reported).collect();
+    let jobs = &core.replica.jobs;
+    let stamped_job = |id: &str| stamped(id, &jobs.get(id)?.record);
+    ids.into_iter().filter_map(stamped_job).collect()
+}
+
+/// Jobs on a machine that must not run by the ledger, whatever the cell's own records say yet.
+pub fn halted_on(node: &Node, core: &Core, report: &Report) -> BTreeSet<String> {
+    let Some(cells) = &node.cells else {
+        return BTreeSet::new();
+    };
+    let stamped = stamped_on(core, report);
+    match stamped.is_empty() {
+        true => BTreeSet::new(),
+        false => cells.halted_among(&stamped),
+    }
+}
+
+/// Whether a machine's report may be answered as far as the ledger goes: one with tasks of its jobs would
+/// else keep alive what another cell was told is cancelled, or has taken over.
+pub fn may_renew(node: &Node, report: &Report, now: Instant) -> bool {
+    let Some(cells) = &node.cells else {
+        return true;
+    };
+    cells.permits_renewals(now) || stamped_on(&node.core(), report).is_empty()
+}
+
+/// Whether tasks may be started as far as the ledger goes.
+pub fn may_start(node: &Node, now: Instant) -> bool {
+    let cells = node.cells.as_ref();
+    cells.is_none_or(|cells| cells.permits_starts(now))
+}
+
+impl CellScheduler {
+    pub fn new(node: &Arc<Node>, cells: &Arc<Cells>) -> Self {
+        Self {
+            node: node.clone(),
+            cells: cells.clone(),
+        }
+    }
+
+    /// The job's description, read as strictly as a user's: another cell is trusted no more.
+    fn record_of(job: &LedgerJob, mark: u64) -> Result<JobRecord, String> {
+        let text = job.description.to_string();
+        let Submission { spec, .. } =
+            Submission::read(text.as_bytes()).map_err(|problem| problem.to_string())?;
+        Ok(JobRecord {
+            spec,
+            accepted_ms: job.accepted_ms,
+            cancelled: false,
+            placer: None,
+            released_ms: (!job.awaits.is_empty()).then(wall_ms),
+            ledger: Some(Stamp {
+                epoch: job.epoch,
+                mark,
+            }),
+            withdrawn: false,
+        })
+    }
+
+    fn verdict(&self, record: &JobRecord) -> Verdict {
+        match fits(&self.node, record, &[]) {
+            true => check_acceptance(&self.node, &record.spec, &[]),
+            false => Verdict::TooLarge,
+        }
+    }
+
+    /// The revision and epoch of the cell's having given up the job.
+    async fn given_up(&self, id: &str) -> Result<Option<(u64, GivenUp)>, Unavailable> {
+        let pair = self.node.state.get_pair(&given_up_key(id)).await;
+        let Some(pair) = pair.map_err(|_| Unavailable)? else {
+            return Ok(None);
+        };
+        let given_up = serde_json::from_str(pair.data.get()).map_err(|_| Unavailable)?;
+        Ok(Some((pair.mark, given_up)))
+    }
+
+    /// How the job ended in this cell, if it did.
+    async fn ended(&self, id: &str) -> Result<bool, Unavailable> {
+        if self.node.core().replica.ended(id).is_some() {
+            return Ok(true);
+        }
+        let value = self.node.state.get(&final_key(id)).await;
+        let Some(value) = value.map_err(|_| Unavailable)? else {
+            return Ok(false);
+        };
+        let last = serde_json::from_value(value).map_err(|_| Unavailable)?;
+        self.node.core().replica.remember_ended(id, last);
+        Ok(true)
+    }
+
+    /// Puts the record of a job there. Its guards fail if the job was here since, however it left.
+    pub async fn put(
+        &self,
+        id: &str,
+        mut record: JobRecord,
+        given_up: u64,
+    ) -> Result<(), Unavailable> {
+        let node = &self.node;
+        if node.state.writes_left(Need::User) == 0 {
+            return Err(Unavailable);
+        }
+        record.placer = membership::choose_placer(node, &mut node.core(), &record);
+        let guards = [
+            Guard::absent(job_key(id)),
+            Guard::absent(final_key(id)),
+            Guard {
+                k: given_up_key(id),
+                mark: given_up,
+            },
+        ];
+        self.write(&guards, vec![Op::set(job_key(id), &Stored::Open(record))])
+            .await
+    }
+
+    async fn write(&self, guards: &[Guard], changes: Vec<Op>) -> Result<(), Unavailable> {
+        let node = &self.node;
+        match node.state.transact(guards, &changes).await {
+            Ok(ledger) => {
+                node.core().apply(changes, ledger);
+                node.wake_up.notify_one();
+                Ok(())
+            }
+            Err(error) => {
+                if !matches!(error, TxnError::Refused) {
+                    node.sync().await;
+                }
+                Err(Unavailable)
+            }
+        }
+    }
+
+    /// Changes an open job's record, if `change` makes another of it.
+    async fn change(
+        &self,
+        id: &str,
+        change: impl FnOnce(&Core, &crate::state::replica::Job) -> Option<JobRecord>,
+    ) -> Result<(), Unavailable> {
+        let (guard, record) = {
+            let core = self.node.core();
+            let Some(job) = core.replica.jobs.get(id) else {
+                return Ok(());
+            };
+            let Some(record) = change(&core, job) else {
+                return Ok(());
+            };
+            let guard = Guard {
+                k: job_key(id),
+                mark: job.mark,
+            };
+            (guard, record)
+        };
+        let put = Op::set(job_key(id), &Stored::Open(record));
+        self.write(&[guard], vec![put]).await
+    }
+}
+
+/// Where a job stands, by the records in memory.
+fn local_job(core: &Core, id: &str, now_ms: u64) -> LocalJob {
+    let Some(job) = core.replica.jobs.get(id) else {
+        return match core.replica.ended(id) {
+            Some(Final::Done) => LocalJob::Done,
+            Some(Final::Cancelled) => LocalJob::EndedCancelled,
+            // Nothing is done about one whose record cannot be read.
+            None if core.replica.is_unreadable(id) => LocalJob::Cancelled,
+            None => LocalJob::Absent,
+        };
+    };
+    if job.record.withdrawn {
+        return LocalJob::Withdrawn;
+    }
+    if job.record.cancelled {
+        return LocalJob::Cancelled;
+    }
+    let planned = core.plans.of(id).is_some_and(|planned| !planned.is_empty());
+    LocalJob::Open {
+        begun: job.placed > 0 || job.done > 0 || planned,
+        age_ms: now_ms.saturating_sub(job.record.since_ms()),
+    }
+}
+
+/// What the cell has to offer, by its records.
+fn summary(core: &Core, now_ms: u64) -> Summary {
+    let capacity: f64 = core.replica.fleet.machines.values().fold(0.0, |sum, m| {
+        sum + core.kind(&m.kind).map_or(0.0, |kind| kind.cpus)
+    });
+    let (mut used, mut waiting) = (0.0, 0);
+    for job in core.replica.jobs.values() {
+        used += f64::from(job.placed) * job.record.spec.cpus;
+        if !job.record.cancelled {
+            let left = job.record.spec.tasks.saturating_sub(job.done + job.placed);
+            waiting += u64::from(left);
+        }
+    }
+    Summary {
+        at_ms: now_ms,
+        waiting,
+        free_cpus: (capacity - used).max(0.0),
+        can_rent: core.rent.refused.is_empty(),
+    }
+}
+
+impl Scheduler for CellScheduler {
+    fn leads(&self) -> bool {
+        membership::lead_mark(&self.node).is_some()
+    }
+
+    fn local_jobs(&self, ids: &[String]) -> Vec<LocalJob> {
+        let core = self.node.core();
+        let now_ms = wall_ms();
+        ids.iter().map(|id| local_job(&core, id, now_ms)).collect()
+    }
+
+    fn stamped_jobs(&self) -> Vec<StampedJob> {
+        let core = self.node.core();
+        let jobs = core.replica.jobs.iter();
+        jobs.filter_map(|(id, job)| stamped(id, &job.record))
+            .collect()
+    }
+
+    fn summary(&self) -> Summary {
+        summary(&self.node.core(), wall_ms())
+    }
+
+    fn can_run(&self, job: &LedgerJob) -> bool {
+        let record = Self::record_of(job, 0);
+        record.is_ok_and(|record| self.verdict(&record) == Verdict::Takes)
+    }
+
+    async fn adopt(&self, id: &str, job: &LedgerJob, mark: u64) -> Result<Adoption, Unavailable> {
+        if !self.node.sync().await {
+            return Err(Unavailable);
+        }
+        {
+            let core = self.node.core();
+            if core.replica.is_unreadable(id) {
+                return Err(Unavailable);
+            }
+            if let Some(held) = core.replica.jobs.get(id) {
+                // One that is on its way out is taken again once it has left.
+                return match held.record.withdrawn {
+                    true => Err(Unavailable),
+                    false => Ok(Adoption::Taken),
+                };
+            }
+        }
+        // Read before the other key: a job that ends or leaves meanwhile fails the guards.
+        let given_up = self.given_up(id).await?;
+        if self.ended(id).await? {
+            return Ok(Adoption::Ended);
+        }
+        if let Some((_, GivenUp { epoch })) = given_up
+            && epoch == job.epoch
+        {
+            return Ok(Adoption::GivenUp { epoch });
+        }
+        let record = match Self::record_of(job, mark) {
+            Ok(record) => record,
+            Err(reason) => return Ok(Adoption::Unfit { reason }),
+        };
+        match self.verdict(&record) {
+            Verdict::Takes => {}
+            Verdict::Never(reason) => {
+                let reason = reason.to_owned();
+                return Ok(Adoption::Unfit { reason });
+            }
+            Verdict::TooLarge => {
+                let reason = "more than a record takes".to_owned();
+                return Ok(Adoption::Unfit { reason });
+            }
+            Verdict::Undecided | Verdict::NoMemory | Verdict::NotYet => return Err(Unavailable),
+        }
+        let mark = given_up.map_or(0, |(mark, _)| mark);
+        self.put(id, record, mark).await.map(|()| Adoption::Taken)
+    }
+
+    async fn give_up(&self, id: &str, epoch: u64) -> Result<bool, Unavailable> {
+        if !self.node.sync().await {
+            return Err(Unavailable);
+        }
+        let given_up = self.given_up(id).await?;
+        let guards = [
+            Guard::absent(job_key(id)),
+            Guard::absent(final_key(id)),
+            Guard {
+                k: given_up_key(id),
+                mark: given_up.map_or(0, |(mark, _)| mark),
+            },
+        ];
+        let put = Op::set(given_up_key(id), &GivenUp { epoch });
+        self.write(&guards, vec![put]).await.map(|()| true)
+    }
+
+    async fn cancel(&self, id: &str) -> Result<(), Unavailable> {
+        self.change(id, |_, job| {
+            let record = &job.record;
+            (!record.cancelled).then(|| record.clone().into_cancelled())
+        })
+        .await
+    }
+
+    async fn withdraw(
+        &self,
+        id: &str,
+        stamp: Stamp,
+        only_unbegun: bool,
+    ) -> Result<(), Unavailable> {
+        self.change(id, |core, job| {
+            let begun = matches!(local_job(core, id, 0), LocalJob::Open { begun: true, .. });
+            let stays = job.record.withdrawn || (only_unbegun && begun);
+            (!stays).then(|| job.record.clone().into_withdrawn(stamp))
+        })
+        .await
+    }
+
+    async fn ask_others(&self, cell: &str, revision: u64) -> Option<Vec<String>> {
+        let others = self.cells.others(self.node.settings.mesh_addr);
+        testimony::ask_all(others, cell, revision).await
+    }
+}
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 pub use pages::{Entry, Layout, Page, PageId};
 pub use spec::{JobSpec, Shape, SpecError, Submission, Urgency, is_job_id};
 
+use rowanmill_cells::Stamp;
 use serde::{Deserialize, Serialize};
 
 /// The record of an unfinished job: what the user asked for, when, and whether it was cancelled.
@@ -26,8 +27,17 @@
     /// When the last job that it waited for was done.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub released_ms: Option<u64>,
+    /// Where the ledger of the cells has it; nothing for a job that only this cell knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ledger: Option<Stamp>,
+    /// It is to be another cell's. Such a record is also `cancelled`, so that nothing of it starts.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub withdrawn: bool,
 }
 
+/// Attempts of one epoch: far more than a task is ever started in one cell.
+const ATTEMPTS_OF_AN_EPOCH: u64 = 1 << 20;
+
 impl JobRecord {
     /// When its times begin: all but its deadline count from its release.
     pub fn since_ms(&self) -> u64 {
@@ -40,6 +50,23 @@
         self.spec.deadline_s.map(|due| due - waited as f64 / 1000.0)
     }
 
+    /// Its attempts are above this. A job that was here before, was another cell's and is back must not
+    /// use an attempt again: machines may still report the earlier one.
+    pub fn attempts_above(&self) -> u64 {
+        let epochs_before = self.ledger.map_or(0, |stamp| stamp.epoch.saturating_sub(1));
+        epochs_before * ATTEMPTS_OF_AN_EPOCH
+    }
+
+    /// The record of a job that is to be another cell's: nothing of it starts, and once nothing of it runs
+    /// the record goes.
+    pub fn into_withdrawn(self, stamp: Stamp) -> Self {
+        Self {
+            ledger: Some(stamp),
+            withdrawn: true,
+            ..self.into_cancelled()
+        }
+    }
+
     /// The record of a job that is cancelled: nothing is placed by it any more, and what may be long
     /// in it is left out, so that it fits a limit that fell since it was accepted.
     pub fn into_cancelled(mut self) -> Self {
@@ -70,6 +97,19 @@
     },
 }
 
+/// What is kept of a job that this cell gave up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GivenUp {
+    /// The epoch of the ledger's record at that time: a handover under it may have been sent.
+    pub epoch: u64,
+}
+
+impl GivenUp {
+    pub fn under(stamp: Stamp) -> Self {
+        Self { epoch: stamp.epoch }
+    }
+}
+
 /// What is kept of a job for ever.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -3,7 +3,7 @@
 
 use super::pages::entry_bytes;
 use super::plans::Changes;
-use super::{Entry, Final, Page, PageId, Stored};
+use super::{Entry, Final, GivenUp, Page, PageId, Stored};
 use crate::fleet::Use;
 use crate::membership::assignment::Member;
 use crate::metrics::Duty;
@@ -11,9 +11,10 @@
 use crate::pipelines;
 use crate::state::replica::Job;
 use crate::state::{
-    ASSIGNMENT_KEY, FORMS_KEY, Guard, MOST_BYTES, Op, Replica, TxnError, final_key, job_key,
-    page_key,
+    ASSIGNMENT_KEY, FORMS_KEY, Guard, MOST_BYTES, Op, Replica, TxnError, final_key, given_up_key,
+    job_key, page_key,
 };
+use rowanmill_cells::Stamp;
 use rowanmill_state::Need;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -93,7 +94,17 @@
     id: String,
     mark: u64,
     pages: Vec<PageId>,
-    last: Final,
+    /// These are all its pages.
+    is_whole: bool,
+    last: Last,
+}
+
+/// What remains of a job that is over.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Last {
+    Final(Final),
+    /// Nothing of it runs here any more, and it is to be another cell's.
+    GivenUp(Stamp),
 }
 
 /// Moves jobs that are over to their final key, with their pages; as many in a transaction as
@@ -113,6 +124,7 @@
                 id: id.clone(),
                 mark: job.mark,
                 pages: job.pages.keys().copied().take(most - 2).collect(),
+                is_whole: job.pages.len() <= most - 2,
                 last,
             })
         })
@@ -130,19 +142,26 @@
                 k: job_key(&ended.id),
                 mark: ended.mark,
             });
-            if short {
-                let finished = Stored::Finished {
-                    outcome: ended.last,
-                };
-                ops.push(Op::set(job_key(&ended.id), &finished));
-                count += 1;
-                continue;
+            count += 1;
+            match ended.last {
+                Last::Final(outcome) if short => {
+                    ops.push(Op::set(job_key(&ended.id), &Stored::Finished { outcome }));
+                    continue;
+                }
+                Last::Final(last) => {
+                    ops.push(Op::set(final_key(&ended.id), &last));
+                    ops.push(Op::drop(job_key(&ended.id)));
+                }
+                // A page that is left would be taken for one of the job's next stay here, and one that
+                // is dropped late would be: so the last of them goes with the record, under its guard.
+                Last::GivenUp(stamp) if ended.is_whole => {
+                    ops.push(Op::set(given_up_key(&ended.id), &GivenUp::under(stamp)));
+                    ops.push(Op::drop(job_key(&ended.id)));
+                }
+                Last::GivenUp(_) => {}
             }
-            ops.push(Op::set(final_key(&ended.id), &ended.last));
-            ops.push(Op::drop(job_key(&ended.id)));
             let pages = ended.pages.iter();
             ops.extend(pages.map(|n| Op::drop(page_key(&ended.id, *n))));
-            count += 1;
         }
         if room < 2 {
             return true;
@@ -155,7 +174,9 @@
         core.metrics.ended += batch.len() as u64;
         core.apply(ops, ledger);
         for ended in batch {
-            core.replica.remember_ended(&ended.id, ended.last);
+            if let Last::Final(last) = ended.last {
+                core.replica.remember_ended(&ended.id, last);
+            }
             core.plans.remove_job(&ended.id);
             core.failures.remove(&ended.id);
         }
@@ -164,7 +185,7 @@
 }
 
 /// Done once every task is; a cancelled one is over once none of its tasks can be on a machine.
-fn over(core: &Core, id: &str, job: &Job) -> Option<Final> {
+fn over(core: &Core, id: &str, job: &Job) -> Option<Last> {
     let tasks = job.record.spec.tasks;
     let planned = core.plans.of(id);
     if job.record.cancelled {
@@ -174,7 +195,9 @@
             placed += i64::from(is_placed(entry));
             placed -= i64::from(is_placed(core.replica.entry(id, *task)));
         }
-        return (placed == 0).then_some(Final::Cancelled);
+        let given_up = job.record.ledger.filter(|_| job.record.withdrawn);
+        let last = given_up.map_or(Last::Final(Final::Cancelled), Last::GivenUp);
+        return (placed == 0).then_some(last);
     }
     let mut done = job.done;
     for (task, entry) in planned.into_iter().flatten() {
@@ -184,7 +207,7 @@
     }
     // A gang's tasks complete together: one that is done says that all are.
     let needed = if job.record.spec.is_gang() { 1 } else { tasks };
-    (done >= needed).then_some(Final::Done)
+    (done >= needed).then_some(Last::Final(Final::Done))
 }
 
 async fn write_pages(node: &Arc<Node>) -> bool {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! rowanmill: a cluster scheduler that rents machines by predicted deadline misses.
 
 mod api;
+mod cells;
 mod cloud;
 mod fleet;
 mod jobs;
@@ -19,6 +20,7 @@
 mod workers;
 
 use clap::{Parser, Subcommand};
+use rowanmill_cells::CellsConfig;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -41,6 +43,12 @@
         /// The operators' policy; what it leaves out is as in the embedded one
         #[arg(long)]
         policy: Option<PathBuf>,
+        /// The operators' file of the cells that share work; without it there are none
+        #[arg(long, requires = "cell")]
+        cells: Option<PathBuf>,
+        /// Which of these cells this controller belongs to
+        #[arg(long, requires = "cells")]
+        cell: Option<String>,
         /// The settings file that the platform hands over
         #[arg(long)]
         config: PathBuf,
@@ -48,8 +56,14 @@
     /// Check a settings file, a policy or both, and say what is wrong
     Check {
         /// The policy to check
-        #[arg(long, required_unless_present = "config")]
+        #[arg(long, required_unless_present_any = ["config", "cells"])]
         policy: Option<PathBuf>,
+        /// The file of the cells to check
+        #[arg(long)]
+        cells: Option<PathBuf>,
+        /// Check the cells' file against the settings of a controller of this cell
+        #[arg(long, requires_all = ["cells", "config"])]
+        cell: Option<String>,
         /// The settings file to check
         #[arg(long)]
         config: Option<PathBuf>,
@@ -59,8 +73,18 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let outcome = match cli.command {
-        Command::Serve { config, policy } => serve(&config, policy.as_deref()),
-        Command::Check { config, policy } => check(config.as_deref(), policy.as_deref()),
+        Command::Serve {
+            config,
+            policy,
+            cells,
+            cell,
+        } => serve(&config, policy.as_deref(), cells.zip(cell)),
+        Command::Check {
+            config,
+            policy,
+            cells,
+            cell,
+        } => check(config.as_deref(), policy.as_deref(), cells, cell),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -93,9 +117,22 @@
     }
 }
 
-fn check(config: Option<&Path>, policy: Option<&Path>) -> Result<(), String> {
+fn check(
+    config: Option<&Path>,
+    policy: Option<&Path>,
+    cells: Option<PathBuf>,
+    cell: Option<String>,
+) -> Result<(), String> {
+    let mut settings = None;
     if let Some(path) = config {
-        settings::Settings::load(path).map_err(|e| e.to_string())?;
+        settings = Some(settings::Settings::load(path).map_err(|e| e.to_string())?);
+        println!("{}: fine", path.display());
+    }
+    if let Some(path) = cells {
+        match (cell, &settings) {
+            (Some(cell), Some(settings)) => drop(load_cells(&path, &cell, settings)?),
+            _ => drop(CellsConfig::load(&path).map_err(|e| e.to_string())?),
+        }
         println!("{}: fine", path.display());
     }
     if let Some(path) = policy {
@@ -105,23 +142,51 @@
     Ok(())
 }
 
-fn serve(config: &Path, policy: Option<&Path>) -> Result<(), String> {
+/// Reads the cells' file, and checks it against a controller's settings.
+fn load_cells(
+    path: &Path,
+    cell: &str,
+    settings: &settings::Settings,
+) -> Result<CellsConfig, String> {
+    let config = CellsConfig::load(path).map_err(|e| e.to_string())?;
+    let times = cells::worker_times(settings);
+    let shown = path.display().to_string();
+    config
+        .check_cell(cell, &times, &shown)
+        .map_err(|e| e.to_string())?;
+    Ok(config)
+}
+
+fn serve(
+    config: &Path,
+    policy: Option<&Path>,
+    cells: Option<(PathBuf, String)>,
+) -> Result<(), String> {
     let settings = settings::Settings::load(config).map_err(|e| e.to_string())?;
     let policy = match policy {
         Some(path) => policy::Policy::load(path).map_err(|e| e.to_string())?,
         None => policy::Policy::default(),
     };
+    let cells = match cells {
+        Some((path, cell)) => Some((load_cells(&path, &cell, &settings)?, cell)),
+        None => None,
+    };
     start_log();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| format!("no runtime: {e}"))?;
-    runtime.block_on(run(settings, policy))
+    runtime.block_on(run(settings, policy, cells))
 }
 
 /// One controller, until its runtime ends.
-async fn run(settings: settings::Settings, policy: policy::Policy) -> Result<(), String> {
-    run_as(membership::schema_versions::CAN, settings, policy).await
+async fn run(
+    settings: settings::Settings,
+    policy: policy::Policy,
+    cells: Option<(CellsConfig, String)>,
+) -> Result<(), String> {
+    let can = membership::schema_versions::CAN;
+    run_as(can, settings, policy, cells).await
 }
 
 /// `can` is what it says that its version can do.
@@ -129,6 +194,7 @@
     can: u32,
     settings: settings::Settings,
     policy: policy::Policy,
+    cells: Option<(CellsConfig, String)>,
 ) -> Result<(), String> {
     let bind = |addr| async move {
         TcpListener::bind(addr)
@@ -137,7 +203,11 @@
     };
     let api_listener = bind(settings.api_addr).await?;
     let mesh_listener = bind(settings.mesh_addr).await?;
-    let node = Arc::new(node::Node::new(can, settings, policy));
+    let node = node::Node::new(can, settings, policy);
+    let node = Arc::new(match cells {
+        Some((config, cell)) => node.in_cell(config, &cell),
+        None => node,
+    });
     tracing::info!(incarnation = node.me.incarnation, "starting");
     start_duties(&node);
     tokio::spawn(mesh::serve(node.clone(), mesh_listener));
@@ -154,4 +224,5 @@
     tokio::spawn(mesh::ask(node.clone()));
     tokio::spawn(placement::service::run(node.clone()));
     tokio::spawn(renting::service::run(node.clone()));
+    cells::start(node);
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,8 +15,9 @@
 use crate::settings::Settings;
 use crate::state::{Guard, Op, Replica, StateClient, rental_key};
 use crate::workers::{TaskId, Workers};
+use rowanmill_cells::{Cells, CellsConfig};
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -56,6 +57,8 @@
     /// Placing ticks, counted as they begin and as they end.
     ticks: watch::Sender<(u64, u64)>,
     heard: Mutex<PeerStatus>,
+    /// The cells that share work, if an operators' file names them.
+    pub cells: Option<Arc<Cells>>,
     pub processor_time: ProcessorTime,
     pub memory: MemoryPressure,
 }
@@ -84,6 +87,7 @@
             wake_up: Notify::new(),
             ticks: watch::Sender::new((0, 0)),
             heard: Mutex::default(),
+            cells: None,
             processor_time: ProcessorTime::default(),
             memory: MemoryPressure::new(settings.params.limits.mem_mb),
             settings,
@@ -91,6 +95,13 @@
         }
     }
 
+    /// Takes part in the cells of an operators' file, as a controller of `cell`.
+    pub fn in_cell(mut self, config: CellsConfig, cell: &str) -> Self {
+        let Member { name, incarnation } = &self.me;
+        self.cells = Some(Arc::new(Cells::new(config, cell, name, *incarnation)));
+        self
+    }
+
     pub fn core(&self) -> MutexGuard<'_, Core> {
         self.core.lock().unwrap()
     }
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -306,7 +306,8 @@
         if job.gang && !gang_attempts.contains_key(&start.job) {
             let last = job.waiting.iter();
             let last = last.map(|t| core.entry(&job.id, *t).last_attempt());
-            gang_attempts.insert(start.job, last.max().unwrap_or(0) + 1);
+            let last = last.max().unwrap_or(0).max(attempts_above(core, &job.id));
+            gang_attempts.insert(start.job, last + 1);
         }
     }
     core.plans
@@ -340,7 +341,10 @@
         let id = (job.id.clone(), start.task);
         let attempt = match gang_attempts.get(&start.job) {
             Some(attempt) => *attempt,
-            None => core.entry(&id.0, id.1).last_attempt() + 1,
+            None => {
+                let last = core.entry(&id.0, id.1).last_attempt();
+                last.max(attempts_above(core, &id.0)) + 1
+            }
         };
         let Some(spec) = cache::spec_of(core, &job.id) else {
             continue;
@@ -366,3 +370,9 @@
 
 #[cfg(test)]
 mod tests;
+
+/// A job's attempts are above this; see `JobRecord::attempts_above`.
+fn attempts_above(core: &Core, job: &str) -> u64 {
+    let job = core.replica.jobs.get(job);
+    job.map_or(0, |job| job.record.attempts_above())
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -41,3 +41,9 @@
 pub fn final_key(id: &str) -> String {
     format!("e/{id}")
 }
+/// That a job of the cells' ledger was here and was given up. Of a job that was ever here, exactly one of
+/// its open record, its final state and this stands, and this one stays: whatever would put the job into
+/// the records late fails on it.
+pub fn given_up_key(id: &str) -> String {
+    format!("x/{id}")
+}
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -284,7 +284,7 @@
         self.pipelines.remove(id);
         self.unreadable.remove(id);
         self.changed_jobs.insert(id.to_owned());
-        if record.cancelled {
+        if record.cancelled && !record.withdrawn {
             self.pipelines.over(id, Final::Cancelled);
         }
         if let Some(job) = self.jobs.get_mut(id) {
@@ -320,6 +320,12 @@
 
     /// A job ended: nothing of it is on any machine or will be. Its pages are left to be dropped.
     fn finish(&mut self, id: &str, last: Final) {
+        self.leave(id);
+        self.remember_ended(id, last);
+    }
+
+    /// A job's record is no more: it ended, or is another cell's.
+    fn leave(&mut self, id: &str) {
         self.unreadable.remove(id);
         self.pipelines.remove(id);
         if let Some(job) = self.jobs.get(id) {
@@ -337,7 +343,6 @@
                 self.orphans.insert((id.to_owned(), page), kept);
             }
         }
-        self.remember_ended(id, last);
     }
 
     fn put_blocked(&mut self, id: &str, record: JobRecord, awaits: Vec<String>, mark: u64) {
@@ -478,6 +483,11 @@
             "j" => {
                 // One that waits leaves its key in two ways: released, which sets it anew, and
                 // cancelled.
+                let withdrawn = |job: &Job| job.record.withdrawn && job.mark < mark;
+                if self.jobs.get(name).is_some_and(withdrawn) {
+                    self.leave(name);
+                    return;
+                }
                 let waits = self.pipelines.get(name).is_some_and(|h| h.mark < mark);
                 let last = match self.jobs.get(name) {
                     Some(job) if job.record.cancelled => Some(Final::Cancelled),
--- a/src/testing/mod.rs
+++ b/src/testing/mod.rs
@@ -84,7 +84,7 @@
             let runtime = builder.enable_all().build().unwrap();
             runtime.block_on(async {
                 tokio::select! {
-                    ended = crate::run_as(version.can, settings, crate::policy::Policy::default()) => ended.unwrap(),
+                    ended = crate::run_as(version.can, settings, crate::policy::Policy::default(), None) => ended.unwrap(),
                     _ = stopped => {}
                 }
             });
--- a/src/workers/service.rs
+++ b/src/workers/service.rs
@@ -2,6 +2,7 @@
 
 use super::{Live, Pending, Report, read};
 use crate::api::{Answer, come_back, error, json};
+use crate::cells;
 use crate::fleet::Use;
 use crate::jobs::Entry;
 use crate::membership;
@@ -11,6 +12,7 @@
 use crate::workers::wire;
 use hyper::StatusCode;
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -61,7 +63,7 @@
     }
     // A cancellation may have passed us by: keeping the worker's lease alive would keep cancelled
     // tasks running. It ends by itself if we stay silent.
-    if !node.may_renew() {
+    if !node.may_renew() || !cells::may_renew(node, &report, Instant::now()) {
         note_there(&mut node.core(), &report, Instant::now());
         return come_back(StatusCode::SERVICE_UNAVAILABLE, 1, "no state service");
     }
@@ -165,9 +167,21 @@
 /// undisturbed has read it within half of this.
 const STARTS_WITHIN: Duration = Duration::from_secs(3);
 
-fn may_start(core: &Core, now: Instant) -> bool {
+fn may_start(node: &Node, core: &Core, now: Instant) -> bool {
     let age = |proof| now.saturating_duration_since(proof);
-    core.proof.is_some_and(|p| age(p) <= STARTS_WITHIN)
+    let is_read = core.proof.is_some_and(|p| age(p) <= STARTS_WITHIN);
+    is_read && cells::may_start(node, now)
+}
+
+/// Jobs of which nothing may run on the machine, beyond what the records say: other controllers know them
+/// to be cancelled, or the cells' ledger does.
+fn must_not_run(node: &Node, core: &Core, report: &Report) -> Arc<BTreeSet<String>> {
+    let mut cancelled = node.peer_status().cancelled.clone();
+    let halted = cells::halted_on(node, core, report);
+    if !halted.is_empty() {
+        Arc::make_mut(&mut cancelled).extend(halted);
+    }
+    cancelled
 }
 
 /// What the machine is told, by the records as they now stand.
@@ -179,12 +193,12 @@
         return None; // it changed hands while the answer waited
     }
     let mut live = core.workers.live.remove(&report.machine)?;
-    let cancelled = node.peer_status().cancelled.clone();
+    let cancelled = must_not_run(node, core, report);
     let pending = Pending {
         stops: &core.workers.stops,
         plans: &core.plans,
         cancelled: &cancelled,
-        may_start: may_start(core, now),
+        may_start: may_start(node, core, now),
     };
     let reading = read(report, &mut live, &core.replica, token, &pending, now);
     core.workers.live.insert(report.machine.clone(), live);
@@ -245,12 +259,12 @@
     live.taken_at = report
         .notice_s
         .map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
-    let cancelled = node.peer_status().cancelled.clone();
+    let cancelled = must_not_run(node, core, report);
     let pending = Pending {
         stops: &core.workers.stops,
         plans: &core.plans,
         cancelled: &cancelled,
-        may_start: may_start(core, now),
+        may_start: may_start(node, core, now),
     };
     let reading = read(report, &mut live, &core.replica, token, &pending, now);
     for task in &report.tasks {
