--- a/crates/rowanmill-cells/src/contact.rs
+++ b/crates/rowanmill-cells/src/contact.rs
@@ -11,6 +11,9 @@
 
 /// Tasks start by readings no older than this. A controller that reads undisturbed has read within half.
 const STARTS_WITHIN: Duration = Duration::from_secs(3);
+/// A cancellation is told to users once so much time has passed since it was read: no controller may start
+/// by an older reading then. Clocks may run apart a little.
+pub const CANCELLATION_SETTLES: Duration = Duration::from_millis(3200);
 
 /// When the ledger was last read, and what that forbids.
 #[derive(Debug, Clone, Default)]
--- a/crates/rowanmill-cells/src/replica.rs
+++ b/crates/rowanmill-cells/src/replica.rs
@@ -1,5 +1,6 @@
 //! A copy of the ledger's live records, kept by following its log.
 
+use crate::contact::CANCELLATION_SETTLES;
 use crate::record::{
     CellPresence, FinalState, Generation, LIVE_PREFIX, LedgerJob, generation_key, presence_key,
 };
@@ -49,6 +50,8 @@
     pub malformed: u64,
     /// Open jobs whose record cannot be read: they are known, and nothing else is said of them.
     unreadable: BTreeMap<String, u64>,
+    /// When the cancellation of an open job was first read.
+    cancelled_at: BTreeMap<String, Instant>,
     /// Changes of jobs of late, for others that cannot read them.
     changes: VecDeque<(u64, String)>,
     /// All later changes of jobs are among these.
@@ -73,6 +76,7 @@
     pub fn reset(&mut self, pairs: Vec<Pair>, revision: u64, now: Instant) {
         self.jobs.clear();
         self.unreadable.clear();
+        self.cancelled_at.clear();
         self.changes.clear();
         self.changes_from = revision;
         for cell in self.cells.values_mut() {
@@ -134,7 +138,7 @@
     }
 
     /// Takes in a job's record that this process wrote, as soon as that is answered.
-    pub fn note_job(&mut self, id: &str, record: LedgerJob, mark: u64) {
+    pub fn note_job(&mut self, id: &str, record: LedgerJob, mark: u64, now: Instant) {
         // The log may have told of its end already.
         if mark <= self.revision || self.finals.contains_key(id) {
             return;
@@ -143,7 +147,7 @@
         if mark > held {
             // Others may ask for it before the log tells of it.
             self.changes.push_back((mark, id.to_owned()));
-            self.jobs.insert(id.to_owned(), Versioned { record, mark });
+            self.hold(id, record, mark, now);
         }
     }
 
@@ -157,7 +161,7 @@
             return;
         };
         match slice {
-            "j" => self.put_job(name, data, mark),
+            "j" => self.put_job(name, data, mark, now),
             "n" => {
                 let presence: Option<CellPresence> = self.read(key, data);
                 if let (Some(record), Some(cell)) = (presence, self.cell(name)) {
@@ -176,7 +180,7 @@
         }
     }
 
-    fn put_job(&mut self, id: &str, data: &str, mark: u64) {
+    fn put_job(&mut self, id: &str, data: &str, mark: u64, now: Instant) {
         if self.jobs.get(id).is_some_and(|held| held.mark >= mark) {
             return;
         }
@@ -185,7 +189,7 @@
             // An owner that the file does not name could never be seen to be gone.
             Some(record) if self.cells.contains_key(&record.owner) => {
                 self.unreadable.remove(id);
-                self.jobs.insert(id.to_owned(), Versioned { record, mark });
+                self.hold(id, record, mark, now);
             }
             Some(_) => {
                 self.malformed += 1;
@@ -195,6 +199,19 @@
         }
     }
 
+    fn hold(&mut self, id: &str, record: LedgerJob, mark: u64, now: Instant) {
+        if record.cancelled {
+            self.cancelled_at.entry(id.to_owned()).or_insert(now);
+        }
+        self.jobs.insert(id.to_owned(), Versioned { record, mark });
+    }
+
+    /// Whether an open job is cancelled, and no controller can start it by an earlier reading any more.
+    pub fn is_settled(&self, id: &str, now: Instant) -> bool {
+        let read_at = self.cancelled_at.get(id);
+        read_at.is_some_and(|at| now.saturating_duration_since(*at) >= CANCELLATION_SETTLES)
+    }
+
     fn forget_readable(&mut self, id: &str, mark: u64) {
         self.jobs.remove(id);
         self.unreadable.insert(id.to_owned(), mark);
@@ -224,6 +241,7 @@
             Some(("j", id)) => {
                 if self.jobs.get(id).is_some_and(|held| held.mark < mark) {
                     self.jobs.remove(id);
+                    self.cancelled_at.remove(id);
                 }
                 self.unreadable.remove(id);
             }
@@ -250,6 +268,7 @@
     /// Remembers how a job ended. That never changes.
     pub fn remember_final(&mut self, id: &str, last: FinalState) {
         self.jobs.remove(id);
+        self.cancelled_at.remove(id);
         if self.finals.insert(id.to_owned(), last).is_some() {
             return;
         }
--- a/crates/rowanmill-cells/src/replica/tests.rs
+++ b/crates/rowanmill-cells/src/replica/tests.rs
@@ -70,13 +70,13 @@
     let now = Instant::now();
     let mut replica = LedgerReplica::new(["a", "b"]);
     let record: LedgerJob = serde_json::from_value(job("a", 1)).unwrap();
-    replica.note_job("job-1", record.clone(), 5);
+    replica.note_job("job-1", record.clone(), 5, now);
     assert_eq!(replica.jobs["job-1"].mark, 5);
     replica.take(vec![change("c/l/j/job-1", Value::Null, 6)], 6, now);
-    replica.note_job("job-1", record.clone(), 5);
+    replica.note_job("job-1", record.clone(), 5, now);
     assert!(replica.jobs.is_empty());
     replica.remember_final("job-1", FinalState::Done);
-    replica.note_job("job-1", record, 7);
+    replica.note_job("job-1", record, 7, now);
     assert!(replica.jobs.is_empty());
 }
 
@@ -101,3 +101,20 @@
     assert_eq!(replica.lost_since("a", 4), Some(all[1..].to_vec()));
     assert_eq!(replica.lost_since("a", 6), Some(Vec::new()));
 }
+
+/// A cancellation that was just read may be unknown to one that starts by an earlier reading; one that is
+/// read anew after a new listing is taken for just read.
+#[test]
+fn a_cancellation_settles() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut cancelled = job("a", 1);
+    cancelled["cancelled"] = json!(true);
+    let mut replica = LedgerReplica::new(["a", "b"]);
+    replica.take(vec![change("c/l/j/job-1", job("a", 1), 1)], 1, start);
+    assert!(!replica.is_settled("job-1", at(9_000)));
+    replica.take(vec![change("c/l/j/job-1", cancelled, 2)], 2, at(1_000));
+    assert!(!replica.is_settled("job-1", at(4_100)) && replica.is_settled("job-1", at(4_200)));
+    replica.reset(Vec::new(), 2, at(5_000));
+    assert!(!replica.is_settled("job-1", at(9_000)));
+}
--- a/crates/rowanmill-cells/src/service.rs
+++ b/crates/rowanmill-cells/src/service.rs
@@ -2,7 +2,7 @@
 //! planned, and answers what users' requests need to know.
 
 use crate::config::CellsConfig;
-use crate::contact::Contact;
+use crate::contact::{CANCELLATION_SETTLES, Contact};
 use crate::plan::{Action, Picture, Planner};
 use crate::record::{CellPresence, FinalState, LIVE_PREFIX, LedgerJob, Stamp, final_key};
 use crate::replica::{LedgerReplica, Versioned};
@@ -36,9 +36,14 @@
     Open {
         /// This cell owns it.
         is_ours: bool,
-        /// Its user cancelled it.
+        /// Its user cancelled it, and no controller can start it any more.
         cancelled: bool,
     },
+    /// Its user cancelled it, and a controller may not know that yet.
+    Cancelling {
+        /// This cell owns it.
+        is_ours: bool,
+    },
     /// It ended.
     Over(FinalState),
     /// The ledger never had it.
@@ -50,8 +55,13 @@
 /// What became of a cancellation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cancelled {
-    /// The ledger has it, and it binds all cells.
+    /// The ledger has it, and no controller can start the job any more.
     Confirmed,
+    /// The ledger has it, and a controller may not know that yet.
+    Recorded {
+        /// This cell owns the job.
+        is_ours: bool,
+    },
     /// The job had ended.
     Over(FinalState),
     /// The ledger never had the job.
@@ -207,7 +217,8 @@
         match self.transact(&transaction::publish(id, job)).await {
             Ok(mark) => {
                 let epoch = job.epoch;
-                self.shared().replica.note_job(id, job.clone(), mark);
+                let now = Instant::now();
+                self.shared().replica.note_job(id, job.clone(), mark, now);
                 Published::New(Stamp { epoch, mark })
             }
             Err(TxnError::Conflict(_)) => Published::Known,
@@ -226,9 +237,11 @@
         {
             let shared = self.shared();
             if let Some(held) = shared.replica.jobs.get(id) {
-                return KnownJob::Open {
-                    is_ours: held.record.owner == self.cell,
-                    cancelled: held.record.cancelled,
+                let is_ours = held.record.owner == self.cell;
+                let cancelled = shared.replica.is_settled(id, Instant::now());
+                return match held.record.cancelled && !cancelled {
+                    true => KnownJob::Cancelling { is_ours },
+                    false => KnownJob::Open { is_ours, cancelled },
                 };
             }
             if shared.replica.is_unreadable(id) || shared.contact.halted.contains(id) {
@@ -250,6 +263,7 @@
                 KnownJob::Over(last) => return Cancelled::Over(last),
                 KnownJob::Never => return Cancelled::Never,
                 KnownJob::Unclear => return Cancelled::Unclear,
+                KnownJob::Cancelling { is_ours } => return Cancelled::Recorded { is_ours },
                 KnownJob::Open {
                     cancelled: true, ..
                 } => return Cancelled::Confirmed,
@@ -258,11 +272,12 @@
             let Some(held) = self.shared().replica.jobs.get(id).cloned() else {
                 continue;
             };
-            let record = held.record.into_cancelled();
+            let record = held.record.clone().into_cancelled();
             match self.change(id, held.mark, record).await {
                 Ok(()) => {
                     self.wake_up();
-                    return Cancelled::Confirmed;
+                    let is_ours = held.record.owner == self.cell;
+                    return Cancelled::Recorded { is_ours };
                 }
                 // It changed under us: it may have ended, or another cell owns it.
                 Err(TxnError::Conflict(_)) => {}
@@ -272,6 +287,26 @@
         Cancelled::Unclear
     }
 
+    /// Waits until a recorded cancellation may be told, because the job has ended or no controller can
+    /// start it any more. False if that is not known within the time that a user waits.
+    pub async fn settles(&self, id: &str) -> bool {
+        let until = Instant::now() + CANCELLATION_SETTLES + PAUSE;
+        while Instant::now() < until {
+            match self.known(id).await {
+                KnownJob::Over(FinalState::Cancelled)
+                | KnownJob::Open {
+                    cancelled: true, ..
+                } => return true,
+                KnownJob::Cancelling { .. } | KnownJob::Unclear => {}
+                KnownJob::Open { .. } | KnownJob::Over(FinalState::Done) | KnownJob::Never => {
+                    return false;
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        false
+    }
+
     /// Waits for a reading of the ledger that was sent after this call, or for the others' word that
     /// nobody has it. One serves all who wait.
     pub async fn sync(&self) -> bool {
@@ -316,7 +351,8 @@
         let changed = self
             .transact(&transaction::change(id, mark, &record))
             .await?;
-        self.shared().replica.note_job(id, record, changed);
+        let now = Instant::now();
+        self.shared().replica.note_job(id, record, changed, now);
         Ok(())
     }
 
@@ -647,7 +683,7 @@
                 }
                 let mut shared = self.shared();
                 for (id, record) in step.records {
-                    shared.replica.note_job(&id, record, mark);
+                    shared.replica.note_job(&id, record, mark, Instant::now());
                 }
                 if let Some((id, last)) = step.ended {
                     shared.replica.remember_final(&id, last);
--- a/src/cells/requests.rs
+++ b/src/cells/requests.rs
@@ -69,6 +69,10 @@
         KnownJob::Open {
             cancelled: true, ..
         } => told_progress(id, Stage::Cancelled, 0, 0),
+        KnownJob::Cancelling { .. } if is_cancelled_here(node, id) => {
+            told_progress(id, Stage::Cancelled, 0, 0)
+        }
+        KnownJob::Cancelling { .. } => being_cancelled(),
         KnownJob::Open { is_ours: true, .. } => progress(node, id),
         KnownJob::Open { .. } => told_progress(id, Stage::Queued, 0, 0),
         KnownJob::Never => only_here(node, id).await,
@@ -91,10 +95,35 @@
     }
 }
 
+/// Another controller may have told the cancellation, or may start the job yet: neither may be contradicted.
+fn being_cancelled() -> Answer {
+    let reason = "the cancellation is being confirmed";
+    come_back(StatusCode::SERVICE_UNAVAILABLE, 1, reason)
+}
+
+/// Whether the cell's own records hold the cancellation: every start is guarded by them.
+fn is_cancelled_here(node: &Node, id: &str) -> bool {
+    let core = node.core();
+    let job = core.replica.jobs.get(id).map(|job| &job.record);
+    job.is_some_and(|record| record.cancelled && !record.withdrawn)
+}
+
 /// Answers a cancellation. Nothing when the job is this cell's alone.
 pub async fn abort(node: &Arc<Node>, cells: &Arc<Cells>, id: &str) -> Option<Answer> {
+    let confirmed = || Some(json(StatusCode::OK, &told(id, Stage::Cancelled)));
     match cells.cancel(id).await {
-        Cancelled::Confirmed => Some(json(StatusCode::OK, &told(id, Stage::Cancelled))),
+        Cancelled::Confirmed => confirmed(),
+        Cancelled::Recorded { is_ours } => {
+            if is_ours {
+                let _ = CellScheduler::new(node, cells).cancel(id).await;
+            }
+            let settled = (is_ours && is_cancelled_here(node, id)) || cells.settles(id).await;
+            if settled {
+                confirmed()
+            } else {
+                Some(being_cancelled())
+            }
+        }
         Cancelled::Over(last) => Some(over(id, last)),
         Cancelled::Never => None,
         Cancelled::Unclear if is_local(node, id) => None,
@@ -182,6 +211,7 @@
         KnownJob::Open {
             cancelled: true, ..
         } => Some(json(StatusCode::OK, &told(id, Stage::Cancelled))),
+        KnownJob::Cancelling { .. } => Some(being_cancelled()),
         KnownJob::Open { is_ours: true, .. } => Some(progress(node, id)),
         KnownJob::Open { .. } => Some(json(StatusCode::OK, &told(id, Stage::Queued))),
         KnownJob::Unclear => Some(no_ledger()),
@@ -193,7 +223,7 @@
 async fn check_awaits(cells: &Cells, awaits: &[String]) -> Result<(), Answer> {
     for id in awaits {
         match cells.known(id).await {
-            KnownJob::Open { .. } | KnownJob::Over(_) => {}
+            KnownJob::Open { .. } | KnownJob::Cancelling { .. } | KnownJob::Over(_) => {}
             KnownJob::Unclear => return Err(no_ledger()),
             KnownJob::Never => {
                 let reason = "`awaits` names a job that the cells never accepted";
