--- a/crates/rowanmill-testing/src/cloud.rs
+++ b/crates/rowanmill-testing/src/cloud.rs
@@ -6,6 +6,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -101,6 +102,8 @@
     pub world: Arc<Mutex<World>>,
     /// The machines of each request of its own controllers.
     hires: Arc<Mutex<HashMap<String, Vec<String>>>>,
+    /// Machines that it rents out at most.
+    capacity: Arc<AtomicUsize>,
     controllers: Vec<SocketAddr>,
     task_takes: Duration,
     times: Times,
@@ -112,6 +115,7 @@
         Self {
             world: Arc::default(),
             hires: Arc::default(),
+            capacity: Arc::new(AtomicUsize::new(usize::MAX)),
             controllers,
             task_takes,
             times,
@@ -124,6 +128,11 @@
         self
     }
 
+    /// It rents out so many machines at most from now on.
+    pub fn set_capacity(&self, machines: usize) {
+        self.capacity.store(machines, Ordering::Relaxed);
+    }
+
     /// Ends all its machines at once, with what runs on them.
     pub fn power_off(&self) {
         let hires = self.hires.lock().unwrap();
@@ -162,7 +171,16 @@
                     return (200, json!({"millstones": names}));
                 }
                 let first = world.machines.len();
+                let rented = hires.values().flatten();
+                let there = rented
+                    .filter(|name| !world.released.contains(*name))
+                    .count();
+                let left = self.capacity.load(Ordering::Relaxed).saturating_sub(there);
                 let count = asked.body["howMany"].as_u64().unwrap() as usize;
+                let count = count.min(left);
+                if count == 0 {
+                    return (503, json!({"error": "no capacity"}));
+                }
                 let names: Vec<String> = (first..first + count)
                     .map(|n| format!("vm-{n:06}"))
                     .collect();
--- a/tests/cells/kill.rs
+++ b/tests/cells/kill.rs
@@ -7,7 +7,7 @@
 const TASKS: u32 = 3;
 
 /// Waits until every job is done by the word of a living cell.
-async fn all_done(site: &Site, at: usize, jobs: usize) {
+pub async fn all_done(site: &Site, at: usize, jobs: usize) {
     for number in 0..jobs {
         let id = format!("job-{number}");
         let done = async || site.stage(at, &id).await == "done";
@@ -38,3 +38,48 @@
     all_done(&site, 2, JOBS).await;
     assert_eq!(site.broken(), Vec::<String>::new());
 }
+
+/// The controllers of a cell end, its machines run on until their leases are over; others take its jobs;
+/// then it is back, and must neither run them nor tell them otherwise. It takes new work.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cell_that_is_back_after_a_takeover_runs_nothing_twice() {
+    let mut site = Site::new(Duration::from_millis(3000)).await;
+    site.start_all().await;
+    for number in 0..6 {
+        site.submit(0, &job(number, TASKS)).await;
+    }
+    let runs = async || site.stage(0, "job-5").await == "running";
+    until("the first cell runs its work", runs).await;
+    site.cells[0].kill_all();
+    let taken = async || {
+        let jobs = site.ledger.stored("c/l/j/");
+        !jobs.values().any(|job| job["owner"] == NAMES[0])
+    };
+    until("its jobs are taken over", taken).await;
+    site.start_cell(0);
+    all_done(&site, 1, 6).await;
+    all_done(&site, 0, 6).await;
+    site.submit(0, &job(6, TASKS)).await;
+    let done = async || site.stage(0, "job-6").await == "done";
+    until("it takes new work", done).await;
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
+
+/// All controllers of a cell end and are back within a fraction of a second: nothing is taken over, and
+/// its machines keep their work.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cell_that_is_back_at_once_keeps_its_jobs() {
+    let mut site = Site::new(Duration::from_millis(4000)).await;
+    site.start_all().await;
+    for number in 0..6 {
+        site.submit(0, &job(number, TASKS)).await;
+    }
+    let runs = async || site.stage(0, "job-5").await == "running";
+    until("the first cell runs its work", runs).await;
+    site.cells[0].kill_all();
+    site.start_cell(0);
+    all_done(&site, 0, 6).await;
+    let finals = site.ledger.stored("c/e/");
+    assert_eq!(finals.len(), 6, "{finals:?}");
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
