Protect machines from the work of other cells, always or at local times

Need: a receiving cell must leave marked racks alone during a drop. The policy has two settings more: protected, an expression on kind, zone, spot, hour and weekday, and time_zone; jiff knows the zones, with daylight saving. Work of other cells starts and is mapped nowhere that is protected, rents nothing for such room, and protected machines are not returned by choice. A job that only fits protected room is declined with the reason and the time before it is taken; where protection begins later and nothing has begun, the job goes back to its home, once.

Two process tests: spilled work leaves the protecting cell's machines alone, and a job that only fits protected room is declined by both others, comes home and is done there.

--- a/crates/rowanmill-cells/src/plan.rs
+++ b/crates/rowanmill-cells/src/plan.rs
@@ -92,6 +92,8 @@
 const SUMMARY_COUNTS: Duration = Duration::from_secs(15);
 /// Of several cells that may take over a job, each next one waits so much longer.
 const NEXT_TAKES_AFTER: Duration = Duration::from_secs(2);
+/// Then a job that nobody else took is looked at again: settings change, and protections end.
+const UNFIT_COUNTS: Duration = Duration::from_secs(60);
 /// A controller that accepts a job puts it into the records within this; after it the leader does.
 const PUT_WITHIN: Duration = Duration::from_secs(1);
 /// What a cell that may rent counts for beyond its idle room: renting takes a boot, so that of two that
@@ -110,6 +112,13 @@
     Unknown(String),
 }
 
+/// When a job was found to be unfit for the cell.
+#[derive(Debug, Clone, Copy)]
+struct Unfit {
+    epoch: u64,
+    since: Instant,
+}
+
 /// The state machine.
 #[derive(Debug)]
 pub struct Planner {
@@ -122,8 +131,8 @@
     missing: BTreeMap<String, Instant>,
     /// Jobs that the records say were given up, with the epoch of that.
     given_up: BTreeMap<String, u64>,
-    /// Jobs that this cell can never run, with the epoch at which that was found.
-    unfit: BTreeMap<String, u64>,
+    /// Jobs that this cell cannot run, or may not now.
+    unfit: BTreeMap<String, Unfit>,
 }
 
 impl Planner {
@@ -146,9 +155,10 @@
         self.given_up.insert(id.to_owned(), epoch);
     }
 
-    /// The cell can never run the job.
-    pub fn note_unfit(&mut self, id: &str, epoch: u64) {
-        self.unfit.insert(id.to_owned(), epoch);
+    /// The cell cannot run the job, or may not now.
+    pub fn note_unfit(&mut self, id: &str, epoch: u64, now: Instant) {
+        let unfit = Unfit { epoch, since: now };
+        self.unfit.insert(id.to_owned(), unfit);
     }
 
     /// The jobs that the ledger says are this cell's.
@@ -181,7 +191,7 @@
         now: Instant,
         runnable: &BTreeSet<String>,
     ) -> Vec<Action> {
-        self.forget_settled(replica);
+        self.forget_settled(replica, now);
         self.note_missing(picture, now);
         let mut actions = Vec::new();
         let mut adopted = 0;
@@ -199,7 +209,16 @@
                 Action::Adopt { .. } => adopted += 1,
                 Action::LookUp { .. } if looked_up == MOST_LOOKED_UP => continue,
                 Action::LookUp { .. } => looked_up += 1,
-                Action::Withdraw { .. } => leaving += 1,
+                Action::Withdraw { .. } => {
+                    leaving += 1;
+                    // Protection that began after it was taken: it goes back to its home.
+                    if let LocalJob::Open {
+                        is_barred: true, ..
+                    } = local
+                    {
+                        self.note_unfit(id, job.record.epoch, now);
+                    }
+                }
                 _ => {}
             }
             actions.push(action);
@@ -209,13 +228,16 @@
         actions
     }
 
-    fn forget_settled(&mut self, replica: &LedgerReplica) {
-        let holds = |id: &String, epoch: &mut u64| {
+    fn forget_settled(&mut self, replica: &LedgerReplica, now: Instant) {
+        let holds = |id: &String, epoch: u64| {
             let job = replica.jobs.get(id);
-            job.is_some_and(|job| job.record.epoch == *epoch)
+            job.is_some_and(|job| job.record.epoch == epoch)
         };
-        self.given_up.retain(holds);
-        self.unfit.retain(holds);
+        self.given_up.retain(|id, epoch| holds(id, *epoch));
+        self.unfit.retain(|id, unfit| {
+            let age = now.saturating_duration_since(unfit.since);
+            holds(id, unfit.epoch) && age < UNFIT_COUNTS
+        });
     }
 
     fn note_missing(&mut self, picture: &Picture, now: Instant) {
@@ -245,7 +267,16 @@
         let cancelled = job.record.cancelled;
         match local {
             LocalJob::Open { .. } if cancelled => Some(Action::Cancel { id }),
-            LocalJob::Open { begun, age_ms } => {
+            LocalJob::Open {
+                begun: false,
+                is_barred: true,
+                ..
+            } => Some(Action::Withdraw {
+                id,
+                stamp: stamp_of(job),
+                only_unbegun: true,
+            }),
+            LocalJob::Open { begun, age_ms, .. } => {
                 let waits = !begun && self.may_spill(replica, job, age_ms, leaving, now);
                 waits.then(|| Action::Withdraw {
                     id,
--- a/crates/rowanmill-cells/src/plan/tests.rs
+++ b/crates/rowanmill-cells/src/plan/tests.rs
@@ -71,7 +71,11 @@
 
 fn open(begun: bool, waited_s: u64) -> LocalJob {
     let age_ms = waited_s * 1000;
-    LocalJob::Open { begun, age_ms }
+    LocalJob::Open {
+        begun,
+        age_ms,
+        is_barred: false,
+    }
 }
 
 /// What is done about an owned job, for each place where the records may say that it stands.
@@ -83,6 +87,11 @@
         open(false, 1),
         open(true, 100),
         open(false, 100),
+        LocalJob::Open {
+            begun: false,
+            age_ms: 1,
+            is_barred: true,
+        },
         LocalJob::Cancelled,
         LocalJob::Withdrawn,
         LocalJob::Done,
@@ -164,7 +173,7 @@
     let now = Instant::now();
     let mut replica = scene(job("b"), now);
     let mut planner = Planner::new("b", &config());
-    planner.note_unfit("job-1", 2);
+    planner.note_unfit("job-1", 2, now);
     let local = || picture(LocalJob::Absent);
     let actions = planner.plan(&replica, &local(), now, &BTreeSet::new());
     let id = || "job-1".to_owned();
--- a/crates/rowanmill-cells/src/scheduler.rs
+++ b/crates/rowanmill-cells/src/scheduler.rs
@@ -13,6 +13,8 @@
         begun: bool,
         /// How long it has been in the records, in milliseconds.
         age_ms: u64,
+        /// Another cell's, and all machines that it may use are protected.
+        is_barred: bool,
     },
     /// Nothing of it is started any more, and what runs is being stopped.
     Cancelled,
--- a/crates/rowanmill-cells/src/service.rs
+++ b/crates/rowanmill-cells/src/service.rs
@@ -634,7 +634,7 @@
         Adoption::GivenUp { epoch } => planner.note_given_up(id, epoch),
         Adoption::Unfit { reason } => {
             tracing::info!(job = id, reason, "the cell cannot run the job");
-            planner.note_unfit(id, held.record.epoch);
+            planner.note_unfit(id, held.record.epoch, Instant::now());
         }
     }
 }
--- a/crates/rowanmill-cells/tests/model/cell.rs
+++ b/crates/rowanmill-cells/tests/model/cell.rs
@@ -315,6 +315,7 @@
             Stands::Withdrawn => LocalJob::Withdrawn,
             Stands::Open => LocalJob::Open {
                 begun: self.running.contains_key(id),
+                is_barred: false,
                 age_ms: record
                     .since
                     .map_or(0, |since| now.duration_since(since).as_millis() as u64),
--- a/crates/rowanmill-testing/src/cloud.rs
+++ b/crates/rowanmill-testing/src/cloud.rs
@@ -133,6 +133,11 @@
         self.capacity.store(machines, Ordering::Relaxed);
     }
 
+    /// Machines that it rented out so far.
+    pub fn rented(&self) -> usize {
+        self.hires.lock().unwrap().values().map(Vec::len).sum()
+    }
+
     /// Ends all its machines at once, with what runs on them.
     pub fn power_off(&self) {
         let hires = self.hires.lock().unwrap();
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -175,6 +175,7 @@
         placer: None,
         released_ms: None,
         ledger: None,
+        foreign: false,
         withdrawn: false,
     };
     let verdict = check_acceptance(node, &record.spec, &awaits);
--- a/src/cells/mod.rs
+++ b/src/cells/mod.rs
@@ -2,6 +2,7 @@
 //! what the ledger changes about users' requests and workers' reports. Without an operators' file there
 //! are no cells, and none of this does anything.
 
+pub mod protection;
 pub mod requests;
 mod testimony;
 
@@ -13,6 +14,7 @@
 use crate::node::{Core, Node, wall_ms};
 use crate::state::{Guard, Op, TxnError, final_key, given_up_key, job_key};
 use crate::workers::Report;
+use protection::Barred;
 use rowanmill_cells::record::Summary;
 use rowanmill_cells::{
     Adoption, Cells, FinalState, LedgerJob, LocalJob, Scheduler, Stamp, StampedJob, Unavailable,
@@ -113,7 +115,7 @@
     }
 
     /// The job's description, read as strictly as a user's: another cell is trusted no more.
-    fn record_of(job: &LedgerJob, mark: u64) -> Result<JobRecord, String> {
+    fn record_of(&self, job: &LedgerJob, mark: u64) -> Result<JobRecord, String> {
         let text = job.description.to_string();
         let Submission { spec, .. } =
             Submission::read(text.as_bytes()).map_err(|problem| problem.to_string())?;
@@ -127,6 +129,7 @@
                 epoch: job.epoch,
                 mark,
             }),
+            foreign: job.home != self.cells.name(),
             withdrawn: false,
         })
     }
@@ -138,6 +141,12 @@
         }
     }
 
+    /// Whether the job is another cell's and all its room is protected.
+    fn barred(&self, record: &JobRecord) -> Option<Barred> {
+        let barred = || protection::barred(&self.node, &self.node.core(), &record.spec, wall_ms());
+        if record.foreign { barred() } else { None }
+    }
+
     /// The revision and epoch of the cell's having given up the job.
     async fn given_up(&self, id: &str) -> Result<Option<(u64, GivenUp)>, Unavailable> {
         let pair = self.node.state.get_pair(&given_up_key(id)).await;
@@ -229,7 +238,7 @@
 }
 
 /// Where a job stands, by the records in memory.
-fn local_job(core: &Core, id: &str, now_ms: u64) -> LocalJob {
+fn local_job(node: &Node, core: &Core, id: &str, now_ms: u64) -> LocalJob {
     let Some(job) = core.replica.jobs.get(id) else {
         return match core.replica.ended(id) {
             Some(Final::Done) => LocalJob::Done,
@@ -246,9 +255,14 @@
         return LocalJob::Cancelled;
     }
     let planned = core.plans.of(id).is_some_and(|planned| !planned.is_empty());
+    let begun = job.placed > 0 || job.done > 0 || planned;
+    let spec = &job.record.spec;
     LocalJob::Open {
-        begun: job.placed > 0 || job.done > 0 || planned,
+        begun,
         age_ms: now_ms.saturating_sub(job.record.since_ms()),
+        is_barred: job.record.foreign
+            && !begun
+            && protection::barred(node, core, spec, now_ms).is_some(),
     }
 }
 
@@ -281,7 +295,10 @@
     fn local_jobs(&self, ids: &[String]) -> Vec<LocalJob> {
         let core = self.node.core();
         let now_ms = wall_ms();
-        ids.iter().map(|id| local_job(&core, id, now_ms)).collect()
+        let local = ids
+            .iter()
+            .map(|id| local_job(&self.node, &core, id, now_ms));
+        local.collect()
     }
 
     fn stamped_jobs(&self) -> Vec<StampedJob> {
@@ -296,8 +313,9 @@
     }
 
     fn can_run(&self, job: &LedgerJob) -> bool {
-        let record = Self::record_of(job, 0);
-        record.is_ok_and(|record| self.verdict(&record) == Verdict::Takes)
+        self.record_of(job, 0).is_ok_and(|record| {
+            self.barred(&record).is_none() && self.verdict(&record) == Verdict::Takes
+        })
     }
 
     async fn adopt(&self, id: &str, job: &LedgerJob, mark: u64) -> Result<Adoption, Unavailable> {
@@ -327,10 +345,17 @@
         {
             return Ok(Adoption::GivenUp { epoch });
         }
-        let record = match Self::record_of(job, mark) {
+        let record = match self.record_of(job, mark) {
             Ok(record) => record,
             Err(reason) => return Ok(Adoption::Unfit { reason }),
         };
+        if let Some(Barred { until_ms }) = self.barred(&record) {
+            let reason = match until_ms {
+                Some(at_ms) => format!("only protected room, until {at_ms} ms of the epoch"),
+                None => "only protected room".to_owned(),
+            };
+            return Ok(Adoption::Unfit { reason });
+        }
         match self.verdict(&record) {
             Verdict::Takes => {}
             Verdict::Never(reason) => {
@@ -379,7 +404,8 @@
         only_unbegun: bool,
     ) -> Result<(), Unavailable> {
         self.change(id, |core, job| {
-            let begun = matches!(local_job(core, id, 0), LocalJob::Open { begun: true, .. });
+            let local = local_job(&self.node, core, id, wall_ms());
+            let begun = matches!(local, LocalJob::Open { begun: true, .. });
             let stays = job.record.withdrawn || (only_unbegun && begun);
             (!stays).then(|| job.record.clone().into_withdrawn(stamp))
         })
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -30,6 +30,9 @@
     /// Where the ledger of the cells has it; nothing for a job that only this cell knows.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ledger: Option<Stamp>,
+    /// Another cell accepted it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub foreign: bool,
     /// It is to be another cell's. Such a record is also `cancelled`, so that nothing of it starts.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub withdrawn: bool,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -13,7 +13,7 @@
 pub mod views;
 
 use crate::jobs::Urgency;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 /// What a task takes of its machine.
@@ -273,8 +273,13 @@
     pub quota: u32,
     /// Machines on which it failed.
     pub avoid: HashSet<String>,
+    /// Sorts of machine that are protected from it.
+    pub barred: Arc<BTreeSet<Sort>>,
 }
 
+/// A kind of machine in a zone, spot or not.
+pub type Sort = (u32, u32, bool);
+
 impl JobView {
     fn is_late(&self, start: f64, fetch: f64, end: f64) -> bool {
         match self.by {
@@ -285,7 +290,10 @@
 
     /// Whether it may run on a sort of machine, wherever its other tasks are.
     fn may_use_sort(&self, kind: u32, zone: u32, spot: bool) -> bool {
-        (!spot || self.spot) && self.kinds.contains(&kind) && self.zone.is_none_or(|z| z == zone)
+        (!spot || self.spot)
+            && self.kinds.contains(&kind)
+            && self.zone.is_none_or(|z| z == zone)
+            && (self.barred.is_empty() || !self.barred.contains(&(kind, zone, spot)))
     }
 
     /// Whether a machine is one that it may run on, wherever its other tasks are.
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -57,6 +57,7 @@
         image_gb: 1.0,
         quota: 1000,
         avoid: HashSet::new(),
+        barred: Arc::default(),
     }
 }
 
@@ -287,3 +288,22 @@
         "those behind are late as well"
     );
 }
+
+/// Work of another cell starts nothing on protected machines and maps nothing there, however much room
+/// they have; the cell's own work does.
+#[test]
+fn protected_machines_take_no_work_of_other_cells() {
+    let machines = || vec![machine("vm-1", 0.0, 4.0)];
+    let sort = (machines()[0].kind, machines()[0].zone, machines()[0].spot);
+    let own = job("job-1", 1.0, 2, 60.0);
+    let mut other = job("job-2", 1.0, 2, 60.0);
+    other.barred = Arc::new(BTreeSet::from([sort]));
+    for (index, view) in [own, other].into_iter().enumerate() {
+        let jobs = [JobView { index: 0, ..view }];
+        let placed = now::place(&jobs, &mut machines(), 2, 100);
+        let mapped = forecast::forecast(&jobs, &machines(), 2);
+        let expected = if index == 0 { 2 } else { 0 };
+        assert_eq!(placed.starts.len(), expected);
+        assert_eq!(mapped.used.len(), expected.min(1));
+    }
+}
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -3,11 +3,13 @@
 use super::cache::{BOOT, Progress, spec_of, tasks_on};
 use super::preempt::{Claim, Occupant};
 use super::{By, JobView, MachineView, Need};
+use crate::cells::protection::{barred, protected_sorts};
 use crate::jobs::{Entry, JobRecord, JobSpec, Shape, Urgency};
 use crate::membership::assignment::spot_of;
 use crate::node::{Core, Node, age_s};
 use crate::policy::JobFacts;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Instant;
 
 /// From a decision to stop a task until its room is free: a report, and a record.
@@ -41,7 +43,8 @@
     pub teams: Vec<String>,
     /// What each limited team may still take.
     pub team_room: HashMap<String, Need>,
-    /// Jobs that fail everywhere: no machine cures that, so they rent nothing.
+    /// Jobs that fail everywhere, or whose room is all protected: no machine cures that, so they rent
+    /// nothing.
     pub hopeless: Vec<bool>,
 }
 
@@ -178,6 +181,7 @@
         hopeless: Vec::new(),
     };
     let within = within_guarantee(node, core);
+    let protected = Arc::new(protected_sorts(node, core, now_ms));
     let mut largest: HashMap<String, f64> = HashMap::new();
     for (id, progress) in &core.views.jobs {
         if let Some(job) = core.replica.jobs.get(id) {
@@ -210,6 +214,11 @@
         else {
             continue;
         };
+        let mut hopeless = failures.is_some_and(|f| f.is_everywhere());
+        if job.record.foreign && !protected.is_empty() {
+            view.barred = protected.clone();
+            hopeless |= barred(node, core, spec, now_ms).is_some();
+        }
         let guaranteed = within.get(&spec.team).copied().unwrap_or(false);
         view.guaranteed = guaranteed;
         view.index = views.jobs.len();
@@ -220,9 +229,7 @@
             urgency: urgency_of(core, spec),
             guaranteed,
         });
-        views
-            .hopeless
-            .push(failures.is_some_and(|f| f.is_everywhere()));
+        views.hopeless.push(hopeless);
     }
     core.views.mark_kept(&views.jobs, &mut views.machines, now);
     views
@@ -278,6 +285,7 @@
         image_gb: spec.image_gb,
         quota: quota_left(spec, rooms),
         avoid: failed_on.unwrap_or_default(),
+        barred: Arc::default(),
     })
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,9 +2,11 @@
 
 mod check;
 mod lang;
+mod protection;
 
 use check::{Checked, Fact, Kind, Value, typed};
-use lang::{Problem, problem};
+use jiff::tz::TimeZone;
+use lang::{Place, Problem, problem};
 use std::collections::BTreeMap;
 use std::path::Path;
 
@@ -37,12 +39,25 @@
     fact("estimate", Kind::Number),
 ];
 
+/// What a protection may name: a sort of machine, and the local time.
+const PROTECTION_FACTS: [Fact; 8] = [
+    fact("kind", Kind::Text),
+    fact("cpus", Kind::Number),
+    fact("gpus", Kind::Number),
+    fact("price", Kind::Number),
+    fact("zone", Kind::Text),
+    fact("spot", Kind::Truth),
+    fact("hour", Kind::Number),
+    fact("weekday", Kind::Number),
+];
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum About {
     Nothing,
     Kind,
     Machine,
     Job,
+    Protection,
 }
 
 struct Setting {
@@ -62,7 +77,7 @@
     }
 }
 
-const SETTINGS: [Setting; 10] = [
+const SETTINGS: [Setting; 12] = [
     number("alpha", About::Kind, 0.0, 1.0),
     number("beta", About::Kind, 0.001, 1.0),
     number("theta", About::Kind, 0.1, 1000.0),
@@ -78,6 +93,18 @@
         kind: Kind::Truth,
         range: (0.0, 0.0),
     },
+    Setting {
+        name: "protected",
+        about: About::Protection,
+        kind: Kind::Truth,
+        range: (0.0, 0.0),
+    },
+    Setting {
+        name: "time_zone",
+        about: About::Nothing,
+        kind: Kind::Text,
+        range: (0.0, 0.0),
+    },
 ];
 
 fn facts_of(about: About) -> &'static [Fact] {
@@ -86,6 +113,7 @@
         About::Kind => MACHINE_FACTS.split_at(KIND_FACTS).0,
         About::Machine => &MACHINE_FACTS,
         About::Job => &JOB_FACTS,
+        About::Protection => &PROTECTION_FACTS,
     }
 }
 
@@ -135,6 +163,18 @@
     settings: BTreeMap<&'static str, Checked>,
     pub period_s: f64,
     pub startup_count: u32,
+    time_zone: TimeZone,
+}
+
+/// What is known of machines of one sort.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SortFacts<'a> {
+    pub kind: &'a str,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub price: f64,
+    pub zone: &'a str,
+    pub spot: bool,
 }
 
 impl Policy {
@@ -158,6 +198,7 @@
         Ok(Self {
             period_s: constant("period"),
             startup_count: constant("startup_count") as u32,
+            time_zone: zone_of(&settings),
             settings,
         })
     }
@@ -236,6 +277,28 @@
     }
 }
 
+/// The time zone of settings that were checked.
+fn zone_of(settings: &BTreeMap<&'static str, Checked>) -> TimeZone {
+    let zone = match &settings["time_zone"] {
+        Checked::Text(name) => protection::time_zone(name),
+        _ => None,
+    };
+    zone.unwrap_or(TimeZone::UTC)
+}
+
+fn check_zone(zone: &Checked, place: Place) -> Result<(), Problem> {
+    let Checked::Text(name) = zone else {
+        return problem(
+            place,
+            "`time_zone` must be a name, such as \"Asia/Ho_Chi_Minh\"",
+        );
+    };
+    match protection::time_zone(name) {
+        Some(_) => Ok(()),
+        None => problem(place, format!("no time zone is named `{name}`")),
+    }
+}
+
 fn read(text: &str) -> Result<BTreeMap<&'static str, Checked>, Problem> {
     let mut settings = BTreeMap::new();
     for statement in lang::parse(text)? {
@@ -256,6 +319,9 @@
             let reason = format!("{n} is out of range: {least} to {most}");
             return problem(statement.expr.place, reason);
         }
+        if setting.name == "time_zone" {
+            check_zone(&checked, statement.expr.place)?;
+        }
         if settings.insert(setting.name, checked).is_some() {
             return problem(statement.place, format!("`{}` is set twice", setting.name));
         }
--- /dev/null
+++ b/src/policy/protection/tests.rs
@@ -0,0 +1,116 @@
+use super::*;
+
+fn sort<'a>(zone: &'a str, gpus: f64) -> SortFacts<'a> {
+    SortFacts {
+        kind: "m",
+        cpus: 16.0,
+        gpus,
+        price: 1.0,
+        zone,
+        spot: false,
+    }
+}
+
+fn at(text: &str) -> u64 {
+    text.parse::<Timestamp>().unwrap().as_millisecond() as u64
+}
+
+fn policy(text: &str) -> Policy {
+    Policy::parse(text).unwrap()
+}
+
+/// The hours in which the clocks change in Los Angeles: 02:00 to 03:00 is not there in March, and 01:00 to
+/// 02:00 comes twice in November. The window holds by the clock on the wall. (Vancouver, by the time zones
+/// of this year, does not go back in November any more.)
+#[test]
+fn a_window_follows_the_clock_on_the_wall() {
+    let policy = policy(
+        "time_zone = \"America/Los_Angeles\"\nprotected = zone == \"kamloops\" and hour >= 1 and hour < 2.5",
+    );
+    let mut trace = String::new();
+    for (what, times) in [
+        (
+            "spring",
+            [
+                "2026-03-08T08:59:00Z",
+                "2026-03-08T09:00:00Z",
+                "2026-03-08T09:59:00Z",
+                "2026-03-08T10:00:00Z",
+            ],
+        ),
+        (
+            "autumn",
+            [
+                "2026-11-01T07:59:00Z",
+                "2026-11-01T08:30:00Z",
+                "2026-11-01T09:30:00Z",
+                "2026-11-01T10:30:00Z",
+            ],
+        ),
+    ] {
+        for time in times {
+            let local = local_time(&policy.time_zone, at(time));
+            let holds = policy.is_protected(&sort("kamloops", 0.0), at(time));
+            assert!(!policy.is_protected(&sort("victoria", 0.0), at(time)));
+            trace.push_str(&format!(
+                "{what} {time}: {:.2} h, protected {holds}\n",
+                local.hour
+            ));
+        }
+    }
+    insta::assert_snapshot!(trace, @r"
+    spring 2026-03-08T08:59:00Z: 0.98 h, protected false
+    spring 2026-03-08T09:00:00Z: 1.00 h, protected true
+    spring 2026-03-08T09:59:00Z: 1.98 h, protected true
+    spring 2026-03-08T10:00:00Z: 3.00 h, protected false
+    autumn 2026-11-01T07:59:00Z: 0.98 h, protected false
+    autumn 2026-11-01T08:30:00Z: 1.50 h, protected true
+    autumn 2026-11-01T09:30:00Z: 1.50 h, protected true
+    autumn 2026-11-01T10:30:00Z: 2.50 h, protected false
+    ");
+}
+
+/// Who is refused is told until when: across midnight, over a weekend, and not at all where it never ends.
+#[test]
+fn the_end_of_a_protection_is_found() {
+    let at_night = policy(
+        "time_zone = \"Asia/Ho_Chi_Minh\"\nprotected = gpus > 0 and (hour >= 22 or hour < 5.5)",
+    );
+    let gpus = sort("a", 2.0);
+    let until = |policy: &Policy, now: &str| {
+        let until = policy.protected_until(&gpus, at(now))?;
+        let until = Timestamp::from_millisecond(until as i64).unwrap();
+        Some(until.to_string())
+    };
+    // 23:10 there; it ends at 05:30.
+    let end = until(&at_night, "2026-06-01T16:10:00Z");
+    assert_eq!(end.as_deref(), Some("2026-06-01T22:30:00Z"));
+    let weekend = policy("time_zone = \"Asia/Ho_Chi_Minh\"\nprotected = weekday >= 6");
+    let end = until(&weekend, "2026-06-06T03:00:00Z");
+    assert_eq!(end.as_deref(), Some("2026-06-07T17:00:00Z"));
+    assert_eq!(
+        until(&policy("protected = true"), "2026-06-06T03:00:00Z"),
+        None
+    );
+}
+
+/// Nothing is protected, and no clock read, unless a policy says so; and a zone that is none is refused.
+#[test]
+fn zones_and_windows_are_checked() {
+    assert!(!Policy::default().protects());
+    let wrong = [
+        "time_zone = \"Asia/Danang\"",
+        "time_zone = 7",
+        "time_zone = if true then \"UTC\" else \"UTC\"",
+        "protected = hour",
+        "protected = zone == 7",
+        "protected = waiting > 3",
+        "hold = if hour > 3 then 1 else 2",
+    ];
+    let mut trace = String::new();
+    for text in wrong {
+        let problem = Policy::parse(text).expect_err(text);
+        trace.push_str(&format!("{text}\n  {problem}\n"));
+    }
+    insta::assert_snapshot!(trace);
+}
--- a/src/renting/decide.rs
+++ b/src/renting/decide.rs
@@ -4,7 +4,8 @@
 use super::{
     ForecastSummaryRecord, Held, Outlook, Verdict, k_of_size, periodic, remedial, to_return,
 };
-use crate::fleet::Use;
+use crate::cells::protection;
+use crate::fleet::{Machine, Use};
 use crate::membership::assignment::Member;
 use crate::node::{Core, Node, age_s};
 use crate::placement::forecast::{Forecast, forecast};
@@ -275,7 +276,10 @@
                 let up = fleet.values().filter(|m| m.kind == kind).count();
                 let may = |held: &&Held| {
                     let machine = fleet.get(&held.name);
-                    machine.is_some_and(|m| node.policy.may_return(&facts, &m.zone, m.spot))
+                    machine.is_some_and(|m| {
+                        node.policy.may_return(&facts, &m.zone, m.spot)
+                            && !is_protected(node, core, m, now_ms)
+                    })
                 };
                 let free: Vec<Held> = outlook.held.iter().filter(may).cloned().collect();
                 for machine in to_return(&free, up) {
@@ -288,6 +292,14 @@
     }
 }
 
+/// Whether operators protect a machine now: it is not drained by choice.
+fn is_protected(node: &Node, core: &Core, machine: &Machine, now_ms: u64) -> bool {
+    let kind = core.kind(&machine.kind);
+    kind.is_some_and(|kind| {
+        protection::is_protected(node, kind, &machine.zone, machine.spot, now_ms)
+    })
+}
+
 /// What the controllers that are there published, summed per kind.
 pub(super) fn summed(node: &Node, core: &Core, now_ms: u64) -> BTreeMap<String, Outlook> {
     let mut sums: BTreeMap<String, Outlook> = BTreeMap::new();
--- a/tests/cells/main.rs
+++ b/tests/cells/main.rs
@@ -4,5 +4,6 @@
 mod cancel;
 mod kill;
 mod ledger;
+mod protection;
 mod site;
 mod spill;
--- /dev/null
+++ b/tests/cells/protection.rs
@@ -0,0 +1,64 @@
+//! Machines that a receiving cell's operators protect.
+
+use super::kill::all_done;
+use super::site::{Site, job, until};
+use serde_json::json;
+use std::time::Duration;
+
+const JOBS: usize = 6;
+
+/// One cell has no machine, and of the two others one protects all that it has: its machines run nothing of
+/// the first cell's, while its own work runs there; each job is done once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn work_that_spills_leaves_protected_machines_alone() {
+    let spill = json!({"spill": {"after_s": 1.0, "at_once": 4, "moves": 3}});
+    let mut site = Site::with(Duration::from_millis(800), spill).await;
+    site.cells[0].cloud.set_capacity(0);
+    site.cells[1].policy = Some("protected = zone == \"a\"\n");
+    site.start_all().await;
+    for number in 0..JOBS {
+        site.submit(0, &job(number, 2)).await;
+    }
+    all_done(&site, 0, JOBS).await;
+    assert_eq!(
+        site.cells[1].cloud.rented(),
+        0,
+        "nothing was rented there for it"
+    );
+    site.submit(1, &job(JOBS, 2)).await;
+    let done = async || site.stage(1, &format!("job-{JOBS}")).await == "done";
+    until("its own work is done there", done).await;
+    assert!(site.cells[1].cloud.rented() > 0);
+    assert_eq!(site.world.lock().unwrap().starts, 2 * (JOBS + 1));
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
+
+/// Both other cells protect all that they have: a job goes to each at most once, comes home, and is done
+/// there when the cell has machines.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_fits_protected_room_only_comes_home() {
+    let spill = json!({"spill": {"after_s": 0.5, "at_once": 4, "moves": 8}});
+    let mut site = Site::with(Duration::from_millis(800), spill).await;
+    site.cells[0].cloud.set_capacity(0);
+    for at in [1, 2] {
+        site.cells[at].policy = Some("protected = true\n");
+    }
+    site.start_all().await;
+    for number in 0..3 {
+        site.submit(0, &job(number, 2)).await;
+    }
+    let home = async || {
+        let jobs = site.ledger.stored("c/l/j/");
+        let declined = |job: &serde_json::Value| job["declined"].as_array().map_or(0, Vec::len);
+        jobs.values()
+            .all(|job| declined(job) == 2 && job["owner"] == "hanoi")
+    };
+    until("all are home, declined by both others", home).await;
+    site.cells[0].cloud.set_capacity(8);
+    all_done(&site, 0, 3).await;
+    assert_eq!(
+        site.cells[1].cloud.rented() + site.cells[2].cloud.rented(),
+        0
+    );
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
--- a/tests/cells/site.rs
+++ b/tests/cells/site.rs
@@ -34,6 +34,8 @@
     ledger_addr: SocketAddr,
     /// The cell's way to the ledger is cut.
     pub cut_from_ledger: Arc<AtomicBool>,
+    /// What its controllers are given as their policy.
+    pub policy: Option<&'static str>,
     processes: Vec<Option<Child>>,
 }
 
@@ -71,6 +73,7 @@
         api,
         cloud,
         cut_from_ledger,
+        policy: None,
         processes: (0..CONTROLLERS).map(|_| None).collect(),
     }
 }
@@ -163,8 +166,14 @@
         std::fs::write(&settings, self.cells[at].settings(number).to_string()).unwrap();
         let log = self.folder.join(format!("log-{at}-{number}.txt"));
         let log = std::fs::File::options().create(true).append(true).open(log);
-        let process = Command::new(env!("CARGO_BIN_EXE_rowanmill"))
-            .arg("serve")
+        let mut command = Command::new(env!("CARGO_BIN_EXE_rowanmill"));
+        command.arg("serve");
+        if let Some(policy) = self.cells[at].policy {
+            let file = self.folder.join(format!("policy-{at}"));
+            std::fs::write(&file, policy).unwrap();
+            command.arg("--policy").arg(file);
+        }
+        let process = command
             .arg("--cells")
             .arg(self.cells_file_of(at))
             .args(["--cell", self.cells[at].name, "--config"])
