Let operators' scripts choose the cell that a job goes to

Need: which cell takes work should be an operator's choice. spill.ranking names a Rhai script beside the cells' file with choose(job, cells); it runs for at most 50,000 operations, with bounded texts, lists and calls. One that fails, loops, recurses or names no cell is logged, and the built-in order holds; check refuses one that cannot be read or has no such function.

--- a/crates/rowanmill-cells/src/config.rs
+++ b/crates/rowanmill-cells/src/config.rs
@@ -1,10 +1,11 @@
 //! The operators' file: which cells there are, where the ledger is, how long leases hold, and when work
 //! spills. Every cell's controllers are started with the same file.
 
+use crate::ranking::{Ranking, Script};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Why a file was refused. Each message is one line and names the field.
@@ -74,6 +75,9 @@
     /// How often a job may be moved because it waited.
     #[serde(default = "default_moves")]
     pub moves: u32,
+    /// A script that chooses the cell, beside this file.
+    #[serde(default)]
+    pub ranking: Option<PathBuf>,
 }
 
 fn default_at_once() -> usize {
@@ -90,6 +94,7 @@
             after_s: None,
             at_once: default_at_once(),
             moves: default_moves(),
+            ranking: None,
         }
     }
 }
@@ -110,6 +115,9 @@
     /// When work spills.
     #[serde(default)]
     pub spill: SpillConfig,
+    /// The order in which cells are chosen.
+    #[serde(skip)]
+    pub ranking: Ranking,
 }
 
 /// What a cell's own settings say of its workers.
@@ -147,7 +155,13 @@
             path: shown.clone(),
             source,
         })?;
-        Self::parse(&text, &shown)
+        let mut config = Self::parse(&text, &shown)?;
+        if let Some(script) = &config.spill.ranking {
+            let folder = path.parent().unwrap_or(Path::new("."));
+            let script = read_script(&folder.join(script)).map_err(refused(&shown))?;
+            config.ranking = Ranking::new(Some(script));
+        }
+        Ok(config)
     }
 
     /// Reads and checks a text that came from `shown`.
@@ -324,6 +338,12 @@
     }
 }
 
+fn read_script(path: &Path) -> Result<Script, Problem> {
+    let refused = |reason: String| ("spill.ranking".to_owned(), reason);
+    let text = std::fs::read_to_string(path).map_err(|e| refused(e.to_string()))?;
+    Script::parse(&text).map_err(|problem| refused(problem.to_string()))
+}
+
 fn refused(shown: &str) -> impl Fn(Problem) -> ConfigError + '_ {
     move |(field, reason)| ConfigError::Invalid {
         path: shown.to_owned(),
--- a/crates/rowanmill-cells/src/lib.rs
+++ b/crates/rowanmill-cells/src/lib.rs
@@ -5,13 +5,15 @@
 //!
 //! The parts: [`config`] reads the operators' file; [`record`] is what the ledger holds; [`replica`]
 //! follows it; [`contact`] tells what may be done without it; [`plan`] decides, as a state machine over
-//! the replica, the cell's own jobs and the time; [`transaction`] makes the ledger's changes; [`service`]
+//! the replica, the cell's own jobs and the time; [`ranking`] which cell a
+//! job goes to; [`transaction`] makes the ledger's changes; [`service`]
 //! is the I/O around these. The scheduler is reached through [`scheduler::Scheduler`].
 #![deny(missing_docs)]
 
 pub mod config;
 pub mod contact;
 pub mod plan;
+pub mod ranking;
 pub mod record;
 pub mod replica;
 pub mod scheduler;
--- a/crates/rowanmill-cells/src/plan.rs
+++ b/crates/rowanmill-cells/src/plan.rs
@@ -3,6 +3,7 @@
 //! goes on where another stopped.
 
 use crate::config::CellsConfig;
+use crate::ranking::{Candidate, Ranking};
 use crate::record::{FinalState, LedgerJob, Stamp};
 use crate::replica::{LedgerReplica, Versioned};
 use crate::scheduler::{LocalJob, StampedJob};
@@ -96,9 +97,6 @@
 const UNFIT_COUNTS: Duration = Duration::from_secs(60);
 /// A controller that accepts a job puts it into the records within this; after it the leader does.
 const PUT_WITHIN: Duration = Duration::from_secs(1);
-/// What a cell that may rent counts for beyond its idle room: renting takes a boot, so that of two that
-/// may rent the one with more idle room comes first, and either before one that may not.
-const RENTED_ROOM_CPUS: f64 = 1_000_000.0;
 /// Most jobs that are put into the records in one round.
 const MOST_ADOPTED: usize = 64;
 /// Most final states that are looked up in one round.
@@ -127,6 +125,7 @@
     spill_after: Option<Duration>,
     spill_at_once: usize,
     spill_moves: u32,
+    ranking: Ranking,
     /// Since when owned jobs are not in the cell's records.
     missing: BTreeMap<String, Instant>,
     /// Jobs that the records say were given up, with the epoch of that.
@@ -144,6 +143,7 @@
             spill_after: config.spill.after_s.map(Duration::from_secs_f64),
             spill_at_once: config.spill.at_once,
             spill_moves: config.spill.moves,
+            ranking: config.ranking.clone(),
             missing: BTreeMap::new(),
             given_up: BTreeMap::new(),
             unfit: BTreeMap::new(),
@@ -373,27 +373,12 @@
         if unfit && *home != self.cell && replica.is_present(home) {
             return Some(home.clone());
         }
-        let room = |name: &str| self.room(replica, name, now);
         let cells = replica.cells.keys().filter(|name| {
             **name != self.cell && !job.declined.contains(name) && replica.is_present(name)
         });
-        let with_room = cells.filter_map(|name| Some((room(name)?, name)));
-        let best = with_room.max_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, name)| name.clone())
-    }
-
-    /// What a cell said to have to spare; nothing if that is old, or if work waits there.
-    fn room(&self, replica: &LedgerReplica, cell: &str, now: Instant) -> Option<f64> {
-        let state = replica.cells.get(cell)?;
-        let summary = &state.presence.as_ref()?.record.summary;
-        let age = now.saturating_duration_since(state.heard_at?);
-        let rented = if summary.can_rent {
-            RENTED_ROOM_CPUS
-        } else {
-            0.0
-        };
-        let room = summary.free_cpus + rented;
-        (age <= SUMMARY_COUNTS && summary.waiting == 0 && room > 0.0).then_some(room)
+        let candidates = cells.filter_map(|name| candidate(replica, name, now));
+        let candidates: Vec<Candidate> = candidates.collect();
+        self.ranking.choose(&job.description, &candidates)
     }
 
     /// Jobs of the records that are another cell's by now, or over.
@@ -472,6 +457,20 @@
     }
 }
 
+/// What a cell said to have to spare; nothing if that is old, or if work waits there.
+fn candidate(replica: &LedgerReplica, cell: &str, now: Instant) -> Option<Candidate> {
+    let state = replica.cells.get(cell)?;
+    let summary = &state.presence.as_ref()?.record.summary;
+    let age = now.saturating_duration_since(state.heard_at?);
+    let candidate = Candidate {
+        name: cell.to_owned(),
+        free_cpus: summary.free_cpus,
+        can_rent: summary.can_rent,
+    };
+    let counts = age <= SUMMARY_COUNTS && summary.waiting == 0 && candidate.room() > 0.0;
+    counts.then_some(candidate)
+}
+
 fn stamp_of(job: &Versioned<LedgerJob>) -> Stamp {
     Stamp {
         epoch: job.record.epoch,
--- /dev/null
+++ b/crates/rowanmill-cells/src/ranking/tests.rs
@@ -0,0 +1,76 @@
+use super::*;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+fn cells() -> Vec<Candidate> {
+    let cell = |name: &str, free_cpus: f64, can_rent: bool| Candidate {
+        name: name.to_owned(),
+        free_cpus,
+        can_rent,
+    };
+    vec![
+        cell("danang", 8.0, false),
+        cell("hanoi", 40.0, false),
+        cell("hue", 2.0, true),
+    ]
+}
+
+fn choose(script: &str) -> Option<String> {
+    let job = json!({"nameId": "job-1", "grist": "render", "cards": 2.0, "sacks": 3});
+    let script = Script::parse(script).expect(script);
+    Ranking::new(Some(script)).choose(&job, &cells())
+}
+
+#[test]
+fn the_built_in_order_prefers_a_cell_that_may_rent() {
+    let ranking = Ranking::default();
+    let all = cells();
+    assert_eq!(ranking.choose(&json!({}), &all).as_deref(), Some("hue"));
+    assert_eq!(
+        ranking.choose(&json!({}), &all[..2]).as_deref(),
+        Some("hanoi")
+    );
+    assert_eq!(ranking.choose(&json!({}), &[]), None);
+}
+
+#[test]
+fn a_script_chooses_by_the_job_and_the_cells() {
+    let by_class =
+        "fn choose(job, cells) { if job.grist == \"render\" { \"danang\" } else { \"hue\" } }";
+    assert_eq!(choose(by_class).as_deref(), Some("danang"));
+    let least = "fn choose(job, cells) { let best = cells[0]; for c in cells { if c.free_cpus > best.free_cpus \
+                 { best = c; } } best.name }";
+    assert_eq!(choose(least).as_deref(), Some("hanoi"));
+}
+
+/// Whatever a script does wrong, a cell is chosen all the same, and soon.
+#[test]
+fn a_script_that_fails_leaves_the_built_in_order() {
+    let wrong = [
+        "fn choose(job, cells) { loop { } }",
+        "fn choose(job, cells) { choose(job, cells) }",
+        "fn choose(job, cells) { let t = \"x\"; loop { t += t; } }",
+        "fn choose(job, cells) { throw \"no\" }",
+        "fn choose(job, cells) { cells[99].name }",
+        "fn choose(job, cells) { \"saigon\" }",
+        "fn choose(job, cells) { 7 }",
+        "fn choose(job, cells) { }",
+    ];
+    for script in wrong {
+        let began = Instant::now();
+        assert_eq!(choose(script).as_deref(), Some("hue"), "{script}");
+        assert!(began.elapsed() < Duration::from_secs(2), "{script}");
+    }
+}
+
+#[test]
+fn what_is_no_such_script_is_refused() {
+    assert_eq!(
+        Script::parse("let x = 1;").unwrap_err(),
+        ScriptError::NoFunction
+    );
+    let one = Script::parse("fn choose(job) { \"hue\" }");
+    assert_eq!(one.unwrap_err(), ScriptError::NoFunction);
+    let broken = Script::parse("fn choose(job, cells) { \"hue }");
+    assert!(matches!(broken, Err(ScriptError::Malformed(_))));
+}
