Ask the ledger about cells and jobs from the command line, and drain a cell

Need: those on call should see which cell owns a job and why it moved or waits, during a takeover too. rowanmill cells status, explain JOB, drain and undrain CELL ask the ledger itself, as text or as JSON with a format version that two kept traces hold; exit codes tell a wrong cell, an unknown job and a ledger that does not answer apart. A drained cell is left by what has not begun, gets nothing and takes nothing over.

--- a/crates/rowanmill-cells/src/lib.rs
+++ b/crates/rowanmill-cells/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod ranking;
 pub mod record;
 pub mod replica;
+pub mod report;
 pub mod scheduler;
 pub mod service;
 pub mod transaction;
--- a/crates/rowanmill-cells/src/plan.rs
+++ b/crates/rowanmill-cells/src/plan.rs
@@ -339,8 +339,8 @@
         }
     }
 
-    /// Whether a job that waits should go elsewhere: it has waited for long, it has not been moved too
-    /// often, few are on their way, and another cell has room and nothing that waits for it.
+    /// Whether a job that waits should go elsewhere: it has waited for long and has not been moved too
+    /// often, or the cell is being drained; few are on their way, and another cell has room and nothing that waits for it.
     fn may_spill(
         &self,
         replica: &LedgerReplica,
@@ -349,11 +349,11 @@
         leaving: usize,
         now: Instant,
     ) -> bool {
-        let Some(after) = self.spill_after else {
-            return false;
-        };
-        Duration::from_millis(age_ms) >= after
-            && job.record.moves < self.spill_moves
+        let waited = self
+            .spill_after
+            .is_some_and(|after| Duration::from_millis(age_ms) >= after);
+        let may_move = waited && job.record.moves < self.spill_moves;
+        (may_move || replica.is_draining(&self.cell))
             && leaving < self.spill_at_once
             && self
                 .choose_taker(replica, &job.record, false, now)
@@ -374,7 +374,10 @@
             return Some(home.clone());
         }
         let cells = replica.cells.keys().filter(|name| {
-            **name != self.cell && !job.declined.contains(name) && replica.is_present(name)
+            **name != self.cell
+                && !job.declined.contains(name)
+                && replica.is_present(name)
+                && !replica.is_draining(name)
         });
         let candidates = cells.filter_map(|name| candidate(replica, name, now));
         let candidates: Vec<Candidate> = candidates.collect();
@@ -414,7 +417,8 @@
     }
 
     fn is_lost(&self, replica: &LedgerReplica, id: &str, job: &LedgerJob, now: Instant) -> bool {
-        if job.owner == self.cell || job.declined.contains(&self.cell) {
+        let is_ours = job.owner == self.cell || job.declined.contains(&self.cell);
+        if is_ours || replica.is_draining(&self.cell) {
             return false;
         }
         let absent = absent_for(replica, &job.owner, now);
@@ -452,7 +456,9 @@
         };
         let own = weight(&self.cell);
         let others = replica.cells.keys();
-        let before = others.filter(|name| replica.is_present(name) && weight(name) > own);
+        let before = others.filter(|name| {
+            replica.is_present(name) && !replica.is_draining(name) && weight(name) > own
+        });
         before.count() as u32
     }
 }
--- a/crates/rowanmill-cells/src/plan/tests.rs
+++ b/crates/rowanmill-cells/src/plan/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::config::tests::file;
-use crate::record::{CellPresence, Summary};
+use crate::record::{CellPresence, Drain, Summary};
 use serde_json::json;
 
 fn config() -> CellsConfig {
@@ -271,3 +271,35 @@
     other.remember_final("job-7", FinalState::Cancelled);
     assert_eq!(plan(&other), [Action::CancelInLedger { id: id("job-1") }]);
 }
+
+/// What has not begun leaves a cell that is being drained, however short it waited and however often it was
+/// moved; nothing goes there, and it takes nothing over.
+#[test]
+fn a_drained_cell_is_left() {
+    let now = Instant::now();
+    let drain = |replica: &mut LedgerReplica, cell: &str| {
+        let state = replica.cells.get_mut(cell).unwrap();
+        state.drain = Some(Drain { since_ms: 1 });
+    };
+    let leaves = |replica: &LedgerReplica| {
+        let mut planner = Planner::new("a", &config());
+        let local = picture(open(false, 0));
+        let actions = planner.plan(replica, &local, now, &BTreeSet::new());
+        matches!(actions[..], [Action::Withdraw { .. }])
+    };
+    let mut record = job("a");
+    record.moves = 99;
+    let mut replica = scene(record, now);
+    assert!(!leaves(&replica));
+    drain(&mut replica, "a");
+    assert!(leaves(&replica));
+    for cell in ["b", "c"] {
+        drain(&mut replica, cell);
+    }
+    assert!(!leaves(&replica), "there is nowhere to go");
+    let state = replica.cells.get_mut("a").unwrap();
+    state.presence = None;
+    state.absent_since = Some(now);
+    let late = now + Duration::from_secs(1_000);
+    assert!(Planner::new("b", &config()).lost(&replica, late).is_empty());
+}
--- a/crates/rowanmill-cells/src/record.rs
+++ b/crates/rowanmill-cells/src/record.rs
@@ -5,6 +5,7 @@
 //! | `c/l/j/JOB` | an open job: its owner, epoch and description | any cell, guarded by its revision |
 //! | `c/l/n/CELL` | a cell's presence, on its lease | the cell's leader |
 //! | `c/l/g/CELL` | how often the cell registered; changes with each registration | the cell's leader |
+//! | `c/l/d/CELL` | that an operator drains the cell | the client |
 //! | `c/e/JOB` | a job's final state, for ever | the job's owner |
 
 use serde::{Deserialize, Serialize};
@@ -28,6 +29,11 @@
     format!("{LIVE_PREFIX}g/{cell}")
 }
 
+/// The key that says that a cell is to be left by what has not begun.
+pub fn drain_key(cell: &str) -> String {
+    format!("{LIVE_PREFIX}d/{cell}")
+}
+
 /// The key of a job's final state.
 pub fn final_key(id: &str) -> String {
     format!("c/e/{id}")
@@ -127,6 +133,13 @@
     pub summary: Summary,
 }
 
+/// An operator drains a cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drain {
+    /// Milliseconds since the epoch when that was asked for.
+    pub since_ms: u64,
+}
+
 /// A cell's registrations.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Generation {
--- a/crates/rowanmill-cells/src/replica.rs
+++ b/crates/rowanmill-cells/src/replica.rs
@@ -2,7 +2,8 @@
 
 use crate::contact::CANCELLATION_SETTLES;
 use crate::record::{
-    CellPresence, FinalState, Generation, LIVE_PREFIX, LedgerJob, generation_key, presence_key,
+    CellPresence, Drain, FinalState, Generation, LIVE_PREFIX, LedgerJob, generation_key,
+    presence_key,
 };
 use rowanmill_state::{Change, Guard, Pair};
 use serde::Deserialize;
@@ -29,6 +30,8 @@
     pub absent_since: Option<Instant>,
     /// When its presence was last read anew.
     pub heard_at: Option<Instant>,
+    /// An operator drains it.
+    pub drain: Option<Drain>,
 }
 
 /// Final states in memory; older ones are read from the ledger.
@@ -176,6 +179,12 @@
                     cell.generation = Some(Versioned { record, mark });
                 }
             }
+            "d" => {
+                let drain: Option<Drain> = self.read(key, data);
+                if let (Some(drain), Some(cell)) = (drain, self.cell(name)) {
+                    cell.drain = Some(drain);
+                }
+            }
             _ => self.malformed += 1,
         }
     }
@@ -251,6 +260,11 @@
                     cell.absent_since = Some(now);
                 }
             }
+            Some(("d", name)) => {
+                if let Some(cell) = self.cells.get_mut(name) {
+                    cell.drain = None;
+                }
+            }
             _ => {}
         }
     }
@@ -286,6 +300,12 @@
         cell.is_some_and(|cell| cell.presence.is_some())
     }
 
+    /// Whether an operator drains a cell.
+    pub fn is_draining(&self, cell: &str) -> bool {
+        let cell = self.cells.get(cell);
+        cell.is_some_and(|cell| cell.drain.is_some())
+    }
+
     /// The guards under which a cell is taken to be gone: it is not there, and has not been back since.
     pub fn absence_guards(&self, cell: &str) -> [Guard; 2] {
         let generation = self.cells.get(cell).and_then(|c| c.generation.as_ref());
--- /dev/null
+++ b/crates/rowanmill-cells/src/report/tests.rs
@@ -0,0 +1,75 @@
+use super::*;
+use rowanmill_state::Pair;
+use serde_json::{Value, json};
+use std::time::Instant;
+
+fn replica() -> LedgerReplica {
+    let job = |owner: &str, home: &str, more: Value| {
+        let mut job = json!({"owner": owner, "epoch": 3, "home": home, "accepted_ms": 0,
+            "description": {"nameId": "job"}});
+        for (field, value) in more.as_object().unwrap() {
+            job[field] = value.clone();
+        }
+        job
+    };
+    let presence = json!({"controller": "millstone-1", "incarnation": 5,
+        "summary": {"at_ms": 9, "waiting": 12, "free_cpus": 64.0, "can_rent": true}});
+    let records = [
+        ("c/l/d/hanoi", json!({"since_ms": 1})),
+        ("c/l/g/hanoi", json!({"count": 4})),
+        ("c/l/n/hanoi", presence),
+        (
+            "c/l/j/job-1",
+            job("hanoi", "hanoi", json!({"awaits": ["job-2", "job-9"]})),
+        ),
+        (
+            "c/l/j/job-2",
+            job("hanoi", "hue", json!({"moves": 2, "declined": ["danang"]})),
+        ),
+        (
+            "c/l/j/job-3",
+            job("danang", "danang", json!({"cancelled": true})),
+        ),
+        ("c/l/j/job-4", json!("?")),
+    ];
+    let pairs = records
+        .into_iter()
+        .enumerate()
+        .map(|(at, (key, data))| Pair {
+            k: key.to_owned(),
+            data: serde_json::value::to_raw_value(&data).unwrap(),
+            mark: at as u64 + 1,
+        });
+    let mut replica = LedgerReplica::new(["hanoi", "danang", "hue"]);
+    replica.reset(pairs.collect(), 40, Instant::now());
+    replica
+}
+
+/// Scripts depend on the JSON: while its version is 1, this trace stays.
+#[test]
+fn the_format_of_the_status_stays() {
+    let status = status(&replica());
+    let json = serde_json::to_string_pretty(&status).unwrap();
+    insta::assert_snapshot!(format!("{}\n{json}", status.text()));
+}
+
+#[test]
+fn the_format_of_an_explanation_stays() {
+    let replica = replica();
+    let mut trace = String::new();
+    let jobs = [
+        ("job-1", None),
+        ("job-2", None),
+        ("job-3", None),
+        ("job-4", None),
+        ("job-5", None),
+        ("job-6", Some(FinalState::Done)),
+    ];
+    for (id, last) in jobs {
+        let explanation = explain(&replica, id, last);
+        trace.push_str(&explanation.text());
+        trace.push_str(&serde_json::to_string(&explanation).unwrap());
+        trace.push('\n');
+    }
+    insta::assert_snapshot!(trace);
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod cells;
+mod client;
 mod cloud;
 mod fleet;
 mod jobs;
@@ -53,6 +54,11 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Ask about the cells that share work, or change them
+    Cells {
+        #[command(subcommand)]
+        command: client::CellsCommand,
+    },
     /// Check a settings file, a policy or both, and say what is wrong
     Check {
         /// The policy to check
@@ -79,6 +85,15 @@
             cells,
             cell,
         } => serve(&config, policy.as_deref(), cells.zip(cell)),
+        Command::Cells { command } => {
+            return match client::run(&command) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(problem) => {
+                    eprintln!("rowanmill: {problem}");
+                    problem.exit_code()
+                }
+            };
+        }
         Command::Check {
             config,
             policy,
--- a/tests/cells/main.rs
+++ b/tests/cells/main.rs
@@ -2,6 +2,7 @@
 //! stand-ins for ledger, state services, clouds and workers, on loopback.
 
 mod cancel;
+mod client;
 mod kill;
 mod ledger;
 mod protection;
--- a/tests/cells/site.rs
+++ b/tests/cells/site.rs
@@ -252,6 +252,19 @@
         String::new()
     }
 
+    /// Runs the command-line client; its exit code, and what it printed.
+    pub fn client(&self, arguments: &[&str]) -> (i32, String) {
+        let output = Command::new(env!("CARGO_BIN_EXE_rowanmill"))
+            .arg("cells")
+            .args(arguments)
+            .arg("--cells")
+            .arg(self.cells_file_of(1))
+            .output()
+            .unwrap();
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        (output.status.code().unwrap_or(-1), text)
+    }
+
     pub fn broken(&self) -> Vec<String> {
         self.world.lock().unwrap().broken.clone()
     }
