--- a/crates/rowanmill-testing/src/cloud.rs
+++ b/crates/rowanmill-testing/src/cloud.rs
@@ -2,7 +2,8 @@
 //! a set time. Whatever breaks a rule is noted, by what the machines themselves see.
 
 use super::{Asked, Handler, Times, ask};
-use crate::history::{Event, History};
+use crate::history::{Event, History, job_of};
+use crate::quota::Quota;
 use hyper::Method;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -41,6 +42,8 @@
     pub most_at_once: usize,
     /// What users were told and machines ran, for the checker.
     pub history: History,
+    /// What the teams' tasks use, against their limits.
+    pub quota: Quota,
     /// Rules that were broken.
     pub broken: Vec<String>,
 }
@@ -78,6 +81,7 @@
     /// A task is on a machine no longer.
     fn leave(&mut self, task: &str, completed: bool) {
         if self.on.remove(task).is_some() {
+            self.quota.leave(task);
             let task = task.to_owned();
             self.history.note(Event::Left { task, completed });
         }
@@ -110,10 +114,6 @@
     }
 }
 
-fn job_of(task: &str) -> &str {
-    task.split('/').next().unwrap_or(task)
-}
-
 /// A cloud, and the workers on its machines.
 #[derive(Clone)]
 pub struct Cloud {
@@ -361,6 +361,8 @@
                     if let Some(other) = world.on.insert(task.clone(), self.name.clone()) {
                         let broken = format!("{task} runs on {other} and on {}", self.name);
                         world.broken.push(broken);
+                    } else if let Err(over) = world.quota.start(&task) {
+                        world.note_broken(over.to_string());
                     }
                     let job = job_of(&task);
                     if world.cancelled.contains_key(job) {
--- a/crates/rowanmill-testing/src/history.rs
+++ b/crates/rowanmill-testing/src/history.rs
@@ -117,7 +117,7 @@
     wrong: Vec<Violation>,
 }
 
-fn job_of(task: &str) -> &str {
+pub(crate) fn job_of(task: &str) -> &str {
     task.split('/').next().unwrap_or(task)
 }
 
--- a/crates/rowanmill-testing/src/lib.rs
+++ b/crates/rowanmill-testing/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cloud;
 pub mod history;
+pub mod quota;
 pub mod state;
 
 use bytes::Bytes;
