--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -8,8 +8,10 @@
 use crate::node::{Core, Node, wall_ms};
 use crate::pipelines::service::{CANCELLED, look_up_needs};
 use crate::placement::views::{kinds_for, room_of};
+use crate::settings::Team;
 use crate::state::{Guard, Op, TxnError, final_key, job_key};
 use hyper::StatusCode;
+use rowanmill_limits::{Amount, Limit};
 use rowanmill_state::Need;
 use serde::Serialize;
 use std::collections::BTreeSet;
@@ -404,10 +406,7 @@
     let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
         return Verdict::Never("unknown team");
     };
-    let at_once = if spec.is_gang() { spec.tasks } else { 1 };
-    let all = spec.need().times(f64::from(at_once));
-    let over = |max: f64, needs: f64| max > 0.0 && needs > max + 1e-6;
-    if over(team.cpus_max, all.cpus) || over(team.gpus_max, all.gpus) {
+    if !may_ever_start(team, spec) {
         return Verdict::Never("more than the team's limit");
     }
     let core = node.core();
@@ -432,6 +431,15 @@
     Verdict::Takes
 }
 
+/// Whether the least that a job can start with fits its team's limit, in the units in which limits are
+/// counted: what is accepted must be able to start.
+fn may_ever_start(team: &Team, spec: &JobSpec) -> bool {
+    let at_once = if spec.is_gang() { spec.tasks } else { 1 };
+    let limit = Limit::of_settings(team.cpus_max, team.gpus_max).unwrap_or_default();
+    let amount = Amount::of_tasks(spec.cpus, spec.gpus, at_once);
+    !limit.is_limited() || amount.is_ok_and(|amount| limit.counted(amount).fits(limit.amount()))
+}
+
 /// Whether a job whose tasks must not all be in one zone may use two.
 fn has_two_zones(core: &Core, spec: &JobSpec, kinds: &[String]) -> bool {
     let kinds = kinds.iter().filter_map(|name| core.kind(name));
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -1,4 +1,9 @@
-//! The command-line client: it asks the ledger, not a controller, and so answers during a takeover too.
+//! The command-line client: it asks the ledger or the state service, not a controller, and so answers
+//! during a takeover too.
+
+mod limits;
+
+pub use limits::LimitsCommand;
 
 use clap::{Args, Subcommand, ValueEnum};
 use rowanmill_cells::record::{Drain, LIVE_PREFIX, drain_key, final_key};
@@ -67,18 +72,24 @@
     Config(String),
     #[error("no cell is named `{0}`")]
     UnknownCell(String),
-    #[error("no cell ever accepted `{0}`")]
+    #[error("`{0}` was never accepted")]
     UnknownJob(String),
+    #[error("`{0}` is over")]
+    Ended(String),
     #[error("the ledger does not answer; try again in a few seconds")]
     NoLedger,
+    #[error("the state service does not answer; try again in a few seconds")]
+    NoState,
+    #[error("a takeover is under way; try again in a few seconds")]
+    NoAssignment,
 }
 
 impl ClientError {
     pub fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
             ClientError::Config(_) | ClientError::UnknownCell(_) => 2,
-            ClientError::UnknownJob(_) => 3,
-            ClientError::NoLedger => 4,
+            ClientError::UnknownJob(_) | ClientError::Ended(_) => 3,
+            ClientError::NoLedger | ClientError::NoState | ClientError::NoAssignment => 4,
         })
     }
 }
@@ -195,12 +206,24 @@
     }
 }
 
+/// What the client can be asked.
+#[derive(Debug)]
+pub enum ClientCommand {
+    Cells(CellsCommand),
+    Limits(LimitsCommand),
+}
+
 /// Carries out a command, and prints its answer.
-pub fn run(command: &CellsCommand) -> Result<(), ClientError> {
+pub fn run(command: &ClientCommand) -> Result<(), ClientError> {
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime = builder.enable_all().build();
     let runtime = runtime.map_err(|e| ClientError::Config(format!("no runtime: {e}")))?;
-    let text = runtime.block_on(answer(command))?;
+    let text = runtime.block_on(async {
+        match command {
+            ClientCommand::Cells(command) => answer(command).await,
+            ClientCommand::Limits(command) => limits::answer(command).await,
+        }
+    })?;
     print!("{text}");
     Ok(())
 }
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -6,6 +6,7 @@
 use super::plans::Changes;
 use super::{Entry, Page, PageId};
 use crate::fleet::Use;
+use crate::limits::{self, Charge};
 use crate::membership::assignment::Member;
 use crate::metrics::Duty;
 use crate::node::{Core, Node};
@@ -32,6 +33,8 @@
 const OVERDUE: u32 = 2;
 /// Up to this part done, a job is far from its end.
 const FAR_FROM_END: f64 = 0.8;
+/// Guards of each start: its job, page and assignment.
+const FIXED_GUARDS: usize = 3;
 /// How long a page is left alone that the state service refused as malformed.
 const REFUSED_FOR: Duration = Duration::from_secs(30);
 
@@ -47,6 +50,8 @@
     overdue: bool,
     /// Where it starts tasks.
     machines: BTreeSet<String>,
+    /// What the starts are charged to, if their team's limit is divided.
+    charge: Option<Charge>,
     gang: bool,
     /// No start was put off that does not fit a value or a transaction's guards.
     whole: bool,
@@ -166,6 +171,10 @@
             }
             Err(error) => {
                 tracing::debug!(%error, "a record was not written");
+                if matches!(error, TxnError::Unknown) {
+                    let charges = batch.iter().filter_map(|d| d.charge.as_ref());
+                    charges.for_each(|charge| core.limits.note_unanswered(charge));
+                }
                 // Not executed, or unknown: starts are planned anew from what then stands. One
                 // that is still under way carries the page's old mark, and loses to the next.
                 withdraw(&mut core, &batch, None);
@@ -183,6 +192,7 @@
     // that is over must be forgotten before it is written under the next one's mark.
     core.note_ownership(&node.me, now);
     withdraw_unstartable(core, &node.me);
+    limits::withdraw_uncovered(core);
     withdraw_broken_gangs(core);
     let most_guards = node.settings.txn_ops() * 4;
     let at_ease = node.state.writes_at_ease() >= 0.98;
@@ -273,8 +283,11 @@
     let mut bytes = page.bytes(number);
     let mut whole = true;
     let under: Vec<Guard> = under(core, id, job, number);
+    let is_divided = core.limits.divided(core, &job.record.spec.team).is_some();
+    let fixed_guards = FIXED_GUARDS + usize::from(is_divided) + under.len();
     let mut rentals: BTreeSet<Guard> = BTreeSet::new();
     let mut changed = false;
+    let mut started = 0;
     let mut machines = BTreeSet::new();
     for (task, entry) in changes {
         let slot = layout.slot(number, *task);
@@ -302,7 +315,7 @@
             needed.extend(core.machine_guard(machine));
         }
         let more = needed.iter().filter(|g| !rentals.contains(g)).count();
-        if rentals.len() + more + 3 + under.len() > most_guards {
+        if rentals.len() + more + fixed_guards > most_guards {
             whole = false;
             continue; // more than a transaction can guard: the rest goes with the next
         }
@@ -316,6 +329,7 @@
         rentals.extend(needed);
         if let Entry::Placed { machine, .. } = entry {
             machines.insert(machine.clone());
+            started += 1;
         }
         page.set(slot, (*entry).clone());
         changed = true;
@@ -324,6 +338,7 @@
         return None;
     }
     let starts = !machines.is_empty();
+    let charge = core.limits.charge(core, id, started).filter(|_| starts);
     let mut guards = vec![
         Guard {
             k: job_key(id),
@@ -342,6 +357,7 @@
             mark,
         });
     }
+    guards.extend(charge.iter().map(Charge::guard));
     guards.extend(under);
     guards.extend(rentals);
     let key = page_key(id, number);
@@ -358,6 +374,7 @@
         guards,
         starts,
         machines,
+        charge,
         gang: job.record.spec.is_gang(),
         whole,
     })
--- /dev/null
+++ b/src/limits/tests.rs
@@ -0,0 +1,160 @@
+use super::*;
+use crate::jobs::pages::tests::wide;
+use serde_json::{Value, json};
+use std::time::Instant;
+
+const ME: &str = "n-0";
+
+/// A controller of two, of which the other places nothing; a team with a limit of so many CPUs.
+fn core(cpus: f64, allotted: u64) -> Core {
+    let mut core = Core::new(wide(8), Instant::now());
+    let limit = Limit::of_settings(cpus, 0.0).unwrap();
+    let limits = BTreeMap::from([("t".to_owned(), limit)]);
+    core.limits = TeamLimits::new(LimitsConfig::default(), ME, limits);
+    let members = json!([{"name": ME, "incarnation": 1}, {"name": "n-1", "incarnation": 1}]);
+    let assignment = json!({"members": members, "teams": {}, "gangs": [0], "had_gangs": false,
+        "slots": [0]});
+    put(&mut core, "r/shares", assignment, 5);
+    let limit = limit.amount();
+    let record = json!({"assignment": 5, "limit": limit, "allotments": {ME: [allotted, 0]}});
+    put(&mut core, "r/a/t", record, 6);
+    core
+}
+
+fn put(core: &mut Core, key: &str, data: Value, mark: u64) {
+    core.replica.put(key, &data.to_string(), mark);
+}
+
+fn job(core: &mut Core, id: &str, shape: &str, tasks: u32) {
+    let spec = json!({"nameId": id, "grist": "c", "crew": "t", "shape": shape, "urgency": "standard",
+        "sacks": tasks, "cpus": 1.0, "cards": 0.0, "memGb": 1.0, "mould": "i", "pullGb": 1.0,
+        "together": false, "spread": false, "borrowed": true, "grindS": 10.0, "bankS": 0.0,
+        "bankWriteS": 0.0});
+    let record = json!({"spec": spec, "accepted_ms": 0});
+    put(core, &format!("r/j/{id}"), record, 7);
+}
+
+fn plan_start(core: &mut Core, id: &str, task: u32) {
+    let entry = Entry::Placed {
+        attempt: 1,
+        machine: "vm-1".into(),
+        session: 1,
+    };
+    core.plan(&(id.to_owned(), task), entry);
+}
+
+fn planned(core: &Core) -> usize {
+    core.plans.all().map(|(_, changes)| changes.len()).sum()
+}
+
+/// The record may have changed since starts were planned: what it no longer covers is taken back, gangs as
+/// a whole, and what is planned is charged to it.
+#[test]
+fn starts_that_the_allotment_does_not_cover_are_taken_back() {
+    let mut core = core(10.0, 5_000_000);
+    job(&mut core, "job-1", "array", 4);
+    job(&mut core, "job-2", "group", 3);
+    (0..4).for_each(|task| plan_start(&mut core, "job-1", task));
+    (0..3).for_each(|task| plan_start(&mut core, "job-2", task));
+    core.plans.rank(["job-1", "job-2"].into_iter());
+    withdraw_uncovered(&mut core);
+    assert_eq!(planned(&core), 4, "the gang does not fit beside the array");
+    let charge = core.limits.charge(&core, "job-1", 4).unwrap();
+    assert_eq!((charge.amount.cpus, charge.record), (4_000_000, 6));
+    assert_eq!(charge.guard().k, "r/a/t");
+    let smaller =
+        json!({"assignment": 5, "limit": [10_000_000, 0], "allotments": {ME: [2_500_000, 0]}});
+    put(&mut core, "r/a/t", smaller, 8);
+    withdraw_uncovered(&mut core);
+    assert_eq!(planned(&core), 2);
+}
+
+#[test]
+fn nothing_starts_without_a_record_that_holds() {
+    for (key, data) in [
+        (
+            "r/a/t",
+            json!({"assignment": 5, "limit": [10_000_000, 0], "allotments": {}}),
+        ),
+        (
+            "r/a/t",
+            json!({"assignment": 4, "limit": [10_000_000, 0], "allotments": {ME: [1, 0]}}),
+        ),
+        (
+            "r/a/t",
+            json!({"assignment": 5, "limit": [9, 0], "allotments": {ME: [9, 0]}}),
+        ),
+        ("r/a/t", json!("no record of ours")),
+        (
+            "r/shares",
+            json!({"members": [{"name": ME, "incarnation": 2}], "teams": {}, "gangs": [0],
+            "had_gangs": false, "slots": [0]}),
+        ),
+    ] {
+        let mut core = core(10.0, 10_000_000);
+        job(&mut core, "job-1", "array", 1);
+        plan_start(&mut core, "job-1", 0);
+        put(&mut core, key, data.clone(), 9);
+        withdraw_uncovered(&mut core);
+        assert_eq!(planned(&core), 0, "{data}");
+    }
+}
+
+/// A start without an answer holds its room until the record has moved on and that was read.
+#[test]
+fn a_start_without_an_answer_is_charged_until_its_outcome_is_known() {
+    let mut core = core(10.0, 4_000_000);
+    job(&mut core, "job-1", "array", 8);
+    let charge = core.limits.charge(&core, "job-1", 3).unwrap();
+    core.limits.note_unanswered(&charge);
+    refresh(&mut core);
+    let room = |core: &Core| core.limits.divided(core, "t").unwrap().room().cpus;
+    assert_eq!(room(&core), 1.0);
+    let again =
+        json!({"assignment": 5, "limit": [10_000_000, 0], "allotments": {ME: [4_000_000, 0]}});
+    put(&mut core, "r/a/t", again, 9);
+    refresh(&mut core);
+    assert_eq!(
+        room(&core),
+        1.0,
+        "our own change is no proof of what came before it"
+    );
+    core.replica.take(Vec::new(), 9);
+    refresh(&mut core);
+    assert_eq!(room(&core), 4.0);
+}
+
+/// What the records and the messages of 200 limited teams take, on a fleet of 4,000 machines' work.
+#[test]
+fn records_of_200_teams_stay_small() {
+    let members = 5;
+    let mut record = AllotmentRecord::frozen(u64::MAX >> 12, Amount::from((4 << 40, 4 << 40)));
+    for member in 0..members {
+        let name = format!("millstone-{member:06}");
+        let most = Amount::from((1 << 40, 1 << 40));
+        record.allotments.insert(name, most);
+    }
+    let bytes = serde_json::to_vec(&record).unwrap().len();
+    assert!(bytes <= 512, "{bytes} bytes a team");
+    let mut core = core(10.0, 0);
+    let limit = Limit::of_settings(1000.0, 0.0).unwrap();
+    let teams = (0..200).map(|team| (format!("team-{team}"), limit));
+    core.limits = TeamLimits::new(LimitsConfig::default(), ME, teams.collect());
+    for number in 0..2000 {
+        let id = format!("job-{number}");
+        job(&mut core, &id, "array", 20);
+    }
+    refresh(&mut core);
+    assert_eq!(core.limits.all_divided(&core).count(), 200);
+    for team in 0..200 {
+        let unit = WaitingUnit {
+            since_ms: u64::MAX >> 12,
+            job: "job-000000000".into(),
+            need: Amount::from((1 << 40, 1 << 40)),
+            is_gang: true,
+        };
+        core.limits.blocked.insert(format!("{team:060}"), unit);
+    }
+    let published = serde_json::to_vec(&core.limits.to_publish()).unwrap().len();
+    assert!(published <= PUBLISHED_BYTES, "{published} bytes published");
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 mod cloud;
 mod fleet;
 mod jobs;
+mod limits;
 mod membership;
 mod mesh;
 mod metrics;
@@ -21,7 +22,10 @@
 mod workers;
 
 use clap::{Parser, Subcommand};
+use client::ClientCommand;
 use rowanmill_cells::CellsConfig;
+use rowanmill_limits::LimitsConfig;
+use rowanmill_limits::config::{TeamAmounts, check_teams};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -50,6 +54,9 @@
         /// Which of these cells this controller belongs to
         #[arg(long, requires = "cells")]
         cell: Option<String>,
+        /// The operators' file that has teams' limits divided among the controllers
+        #[arg(long)]
+        limits: Option<PathBuf>,
         /// The settings file that the platform hands over
         #[arg(long)]
         config: PathBuf,
@@ -59,10 +66,15 @@
         #[command(subcommand)]
         command: client::CellsCommand,
     },
+    /// Ask how teams' limits stand
+    Limits {
+        #[command(subcommand)]
+        command: client::LimitsCommand,
+    },
     /// Check a settings file, a policy or both, and say what is wrong
     Check {
         /// The policy to check
-        #[arg(long, required_unless_present_any = ["config", "cells"])]
+        #[arg(long, required_unless_present_any = ["config", "cells", "limits"])]
         policy: Option<PathBuf>,
         /// The file of the cells to check
         #[arg(long)]
@@ -70,6 +82,9 @@
         /// Check the cells' file against the settings of a controller of this cell
         #[arg(long, requires_all = ["cells", "config"])]
         cell: Option<String>,
+        /// The limits' file to check; with a settings file, its teams' amounts too
+        #[arg(long)]
+        limits: Option<PathBuf>,
         /// The settings file to check
         #[arg(long)]
         config: Option<PathBuf>,
@@ -84,22 +99,22 @@
             policy,
             cells,
             cell,
-        } => serve(&config, policy.as_deref(), cells.zip(cell)),
-        Command::Cells { command } => {
-            return match client::run(&command) {
-                Ok(()) => ExitCode::SUCCESS,
-                Err(problem) => {
-                    eprintln!("rowanmill: {problem}");
-                    problem.exit_code()
-                }
-            };
-        }
+            limits,
+        } => serve(
+            &config,
+            policy.as_deref(),
+            cells.zip(cell),
+            limits.as_deref(),
+        ),
+        Command::Cells { command } => return ask(&ClientCommand::Cells(command)),
+        Command::Limits { command } => return ask(&ClientCommand::Limits(command)),
         Command::Check {
             config,
             policy,
             cells,
             cell,
-        } => check(config.as_deref(), policy.as_deref(), cells, cell),
+            limits,
+        } => check(config.as_deref(), policy.as_deref(), cells, cell, limits),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -110,6 +125,17 @@
     }
 }
 
+/// Has the client answer.
+fn ask(command: &ClientCommand) -> ExitCode {
+    match client::run(command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("rowanmill: {problem}");
+            problem.exit_code()
+        }
+    }
+}
+
 fn start_log() {
     let wanted = std::env::var("LOG_LEVEL").unwrap_or_default();
     let level = match wanted.as_str() {
@@ -137,6 +163,7 @@
     policy: Option<&Path>,
     cells: Option<PathBuf>,
     cell: Option<String>,
+    limits: Option<PathBuf>,
 ) -> Result<(), String> {
     let mut settings = None;
     if let Some(path) = config {
@@ -150,6 +177,13 @@
         }
         println!("{}: fine", path.display());
     }
+    if let Some(path) = limits {
+        match &settings {
+            Some(settings) => drop(load_limits(&path, settings)?),
+            None => drop(LimitsConfig::load(&path).map_err(|e| e.to_string())?),
+        }
+        println!("{}: fine", path.display());
+    }
     if let Some(path) = policy {
         policy::Policy::load(path).map_err(|e| e.to_string())?;
         println!("{}: fine", path.display());
@@ -157,6 +191,19 @@
     Ok(())
 }
 
+/// Reads the limits' file, and checks it against a controller's settings.
+fn load_limits(path: &Path, settings: &settings::Settings) -> Result<LimitsConfig, String> {
+    let config = LimitsConfig::load(path).map_err(|e| e.to_string())?;
+    let teams = settings.params.teams.iter().map(|team| TeamAmounts {
+        name: &team.name,
+        guarantee: (team.cpus, team.gpus),
+        limit: (team.cpus_max, team.gpus_max),
+    });
+    let shown = path.display().to_string();
+    check_teams(teams, &shown).map_err(|e| e.to_string())?;
+    Ok(config)
+}
+
 /// Reads the cells' file, and checks it against a controller's settings.
 fn load_cells(
     path: &Path,
@@ -176,6 +223,7 @@
     config: &Path,
     policy: Option<&Path>,
     cells: Option<(PathBuf, String)>,
+    limits: Option<&Path>,
 ) -> Result<(), String> {
     let settings = settings::Settings::load(config).map_err(|e| e.to_string())?;
     let policy = match policy {
@@ -186,30 +234,33 @@
         Some((path, cell)) => Some((load_cells(&path, &cell, &settings)?, cell)),
         None => None,
     };
+    let limits = match limits {
+        Some(path) => Some(load_limits(path, &settings)?),
+        None => None,
+    };
     start_log();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| format!("no runtime: {e}"))?;
-    runtime.block_on(run(settings, policy, cells))
+    let options = Options { cells, limits };
+    let can = membership::schema_versions::CAN;
+    runtime.block_on(run_as(can, settings, policy, options))
 }
 
-/// One controller, until its runtime ends.
-async fn run(
-    settings: settings::Settings,
-    policy: policy::Policy,
+/// What operators' files enable.
+#[derive(Default)]
+struct Options {
     cells: Option<(CellsConfig, String)>,
-) -> Result<(), String> {
-    let can = membership::schema_versions::CAN;
-    run_as(can, settings, policy, cells).await
+    limits: Option<LimitsConfig>,
 }
 
-/// `can` is what it says that its version can do.
+/// One controller, until its runtime ends. `can` is what it says that its version can do.
 async fn run_as(
     can: u32,
     settings: settings::Settings,
     policy: policy::Policy,
-    cells: Option<(CellsConfig, String)>,
+    options: Options,
 ) -> Result<(), String> {
     let bind = |addr| async move {
         TcpListener::bind(addr)
@@ -218,8 +269,8 @@
     };
     let api_listener = bind(settings.api_addr).await?;
     let mesh_listener = bind(settings.mesh_addr).await?;
-    let node = node::Node::new(can, settings, policy);
-    let node = Arc::new(match cells {
+    let node = node::Node::new(can, settings, policy).with_limits(options.limits);
+    let node = Arc::new(match options.cells {
         Some((config, cell)) => node.in_cell(config, &cell),
         None => node,
     });
--- a/src/membership/assignment.rs
+++ b/src/membership/assignment.rs
@@ -2,8 +2,8 @@
 //! from the records alone.
 //!
 //! The first sharing gave each team whole to a controller, so one team's drop kept one controller
-//! busy while the others looked on. Now jobs are parted by their id; only the teams with a limit
-//! stay whole, since their limit must hold exactly and one controller alone can see to that. Gangs
+//! busy while the others looked on. Now jobs are parted by their id; only the teams with a limit that
+//! is not divided stay whole, since it must hold exactly and one controller alone can see to that. Gangs
 //! go to few controllers, whose machines are then not parted into pieces too small for them.
 
 use crate::jobs::{JobRecord, JobSpec, Urgency};
@@ -22,7 +22,7 @@
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Assignment {
     pub members: Vec<Member>,
-    /// Teams with a limit, each whole.
+    /// Teams with a limit that is not divided, each whole.
     pub teams: BTreeMap<String, usize>,
     /// Who places gangs, and whether there were any when this was parted.
     pub gangs: Vec<usize>,
@@ -76,8 +76,8 @@
 
 /// What the sharing of jobs depends on.
 pub struct Work<'a> {
-    /// Teams with a limit, and the machines that their work would fill.
-    pub limited: &'a BTreeMap<String, f64>,
+    /// Teams with a limit that is not divided, and the machines that their work would fill.
+    pub whole: &'a BTreeMap<String, f64>,
     /// Whether there are gangs to place.
     pub gangs: bool,
 }
@@ -95,10 +95,7 @@
     }
     let members: Vec<Member> = present.iter().cloned().collect();
     let gangs_are_new = work.gangs && !old.had_gangs;
-    if members == old.members
-        && !gangs_are_new
-        && work.limited.keys().all(|t| old.teams.contains_key(t))
-    {
+    if members == old.members && !gangs_are_new && work.whole.keys().eq(old.teams.keys()) {
         return old.clone();
     }
     let mut shares = Assignment {
@@ -131,7 +128,7 @@
     let mut teams: BTreeMap<String, usize> = BTreeMap::new();
     let mut burden: Vec<f64> = weights.iter().map(|w| -w * 0.01).collect();
     let mut open = Vec::new();
-    for (team, load) in work.limited {
+    for (team, load) in work.whole {
         match old.teams.get(team).and_then(|at| still(*at)) {
             Some(at) => {
                 burden[at] += load + 0.1;
--- a/src/membership/assignment/tests.rs
+++ b/src/membership/assignment/tests.rs
@@ -37,7 +37,7 @@
 fn work_stays_unless_its_controller_is_gone_and_limited_teams_stay_whole() {
     let limited = BTreeMap::from([("plans".to_string(), 5.0), ("scores".to_string(), 3.0)]);
     let work = Work {
-        limited: &limited,
+        whole: &limited,
         gangs: true,
     };
     let a = member("a", 1);
--- a/src/membership/schema_versions.rs
+++ b/src/membership/schema_versions.rs
@@ -12,6 +12,8 @@
 
 /// What this version can do: jobs that wait for others, dense pages.
 pub const CAN: u32 = 1;
+/// The same, and that it was told to divide teams' limits.
+pub const CAN_DIVIDE_LIMITS: u32 = 2;
 
 /// Who has been seen to be of this version, and whether all have.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
--- a/src/membership/sharing.rs
+++ b/src/membership/sharing.rs
@@ -3,6 +3,7 @@
 use super::assignment::{
     Assignment, Demand, Member, Shared, Wanted, Work, part_jobs, part_machines,
 };
+use super::schema_versions::CAN_DIVIDE_LIMITS;
 use crate::fleet::{Rental, in_parts};
 use crate::jobs::JobRecord;
 use crate::metrics::Duty;
@@ -156,6 +157,13 @@
     best.map(|m| m.name)
 }
 
+/// Whether teams' limits are divided: once every controller that is there was told to. One of the version
+/// before takes no part in it, and has them whole again from its arrival on.
+fn divides_limits(node: &Node, core: &Core) -> bool {
+    let mut present = core.replica.presence.values();
+    node.can >= CAN_DIVIDE_LIMITS && present.all(|p| p.record.forms >= CAN_DIVIDE_LIMITS)
+}
+
 fn wanted_change(node: &Node, core: &Core, settled: bool) -> Change {
     let replica = &core.replica;
     let present = replica.present();
@@ -163,8 +171,12 @@
     let none = Assignment::default();
     let before = old.map_or(&none, |s| &s.record);
     let (_, limited, gangs) = demand(node, core, before);
+    let whole = match divides_limits(node, core) {
+        true => BTreeMap::new(),
+        false => limited,
+    };
     let work = Work {
-        limited: &limited,
+        whole: &whole,
         gangs,
     };
     let shares = part_jobs(&present, &node.me, before, &work);
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -4,6 +4,7 @@
 pub mod processor_time;
 
 use crate::jobs::Entry;
+use crate::limits;
 use crate::node::{Core, Node};
 pub use processor_time::{Duty, ProcessorTime};
 use rowanmill_state::Used;
@@ -28,6 +29,9 @@
     pub unwritten: u64,
     /// Pages' transactions whose guards did not hold: their changes count against the limit, too.
     pub lost_races: u64,
+    /// Allotments given to others, and records put again for starts without an answer.
+    pub transfers: u64,
+    pub fences: u64,
     /// Machines looked at by the mapping, and views made anew because something changed.
     pub steps: u64,
     pub views: u64,
@@ -53,6 +57,8 @@
             ended: 0,
             unwritten: 0,
             lost_races: 0,
+            transfers: 0,
+            fences: 0,
             steps: 0,
             views: 0,
             placing: Duration::ZERO,
@@ -97,6 +103,7 @@
     log_counters(&core, &totals, now);
     log_processor_time(&core.metrics.before, &totals);
     log_oldest(node, &core);
+    limits::service::log_teams(&core);
     core.metrics = Metrics {
         before: totals,
         ..Metrics::new(now)
@@ -118,6 +125,8 @@
         c.ended,
         c.unwritten,
         c.lost_races,
+        c.transfers,
+        c.fences,
         c.steps,
         c.views,
         placing_ms = c.placing.as_millis() as u64,
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,8 +4,10 @@
 use crate::jobs::plans::Plans;
 use crate::jobs::runtime_estimate::{Failures, RuntimeEstimate};
 use crate::jobs::{Entry, JobSpec, Layout};
+use crate::limits::TeamLimits;
 use crate::membership::Standing;
 use crate::membership::assignment::Member;
+use crate::membership::schema_versions::CAN_DIVIDE_LIMITS;
 use crate::mesh::attestation::PeerStatus;
 use crate::metrics::memory::MemoryPressure;
 use crate::metrics::{Metrics, ProcessorTime};
@@ -16,6 +18,7 @@
 use crate::state::{Guard, Op, Replica, StateClient, rental_key};
 use crate::workers::{TaskId, Workers};
 use rowanmill_cells::{Cells, CellsConfig};
+use rowanmill_limits::LimitsConfig;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -32,6 +35,7 @@
     pub loaded: bool,
     pub standing: Standing,
     pub plans: Plans,
+    pub limits: TeamLimits,
     pub workers: Workers,
     pub runtime_estimates: HashMap<String, RuntimeEstimate>,
     pub failures: HashMap<String, Failures>,
@@ -95,6 +99,19 @@
         }
     }
 
+    /// Divides teams' limits with the other controllers, as far as all of them can.
+    pub fn with_limits(mut self, config: Option<LimitsConfig>) -> Self {
+        let config = match config {
+            Some(config) => {
+                self.can = self.can.max(CAN_DIVIDE_LIMITS);
+                config
+            }
+            None => LimitsConfig::default(),
+        };
+        self.core().limits = TeamLimits::of_settings(config, &self.settings);
+        self
+    }
+
     /// Takes part in the cells of an operators' file, as a controller of `cell`.
     pub fn in_cell(mut self, config: CellsConfig, cell: &str) -> Self {
         let Member { name, incarnation } = &self.me;
@@ -204,6 +221,7 @@
             loaded: false,
             standing: Standing::default(),
             plans: Plans::default(),
+            limits: TeamLimits::default(),
             workers: Workers::default(),
             runtime_estimates: HashMap::new(),
             failures: HashMap::new(),
--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -3,6 +3,7 @@
 
 use super::gang::gang_places;
 use super::index::{MachineIndex, StartTimesId, TaskTimes};
+use super::rooms::TeamRooms;
 use super::{JobView, MachineView, NEAR, SLACK, Zones, batch_order, startup_order};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
@@ -45,6 +46,9 @@
 struct Mapper<'a> {
     jobs: &'a [JobView],
     progress: Vec<Progress>,
+    /// What limited teams may still start: what their limit keeps waiting takes no machine, is not late
+    /// for want of one, and rents none.
+    rooms: TeamRooms,
     machines: MachineIndex<'a>,
     out: Forecast,
     gangs: usize,
@@ -63,8 +67,8 @@
 impl Mapper<'_> {
     fn left(&self, job: usize) -> usize {
         let view = &self.jobs[job];
-        let most = view.waiting.len().min(view.quota as usize);
-        most.saturating_sub(self.progress[job].next)
+        let left = view.waiting.len() - self.progress[job].next;
+        left.min(self.rooms.tasks(view))
     }
 
     /// When one task of a job could start on each machine.
@@ -122,6 +126,7 @@
         let progress = &mut self.progress[job];
         progress.next += 1;
         progress.begun += 1;
+        self.rooms.take(view, 1);
         self.machines
             .occupy(at.machine, &view.need, at.start, at.end);
         self.machines.use_image(at.machine, view.image);
@@ -183,13 +188,14 @@
 
     fn gang(&mut self, job: usize) {
         let size = self.jobs[job].waiting.len();
-        if (self.jobs[job].quota as usize) < size {
+        if self.rooms.tasks(&self.jobs[job]) < size {
             self.progress[job].next = size;
             return;
         }
         if self.gangs >= MOST_GANGS {
             let (late, helped) = self.last_gang;
             let count = |yes: bool| if yes { size as u32 } else { 0 };
+            self.rooms.take(&self.jobs[job], size);
             let mapped = &mut self.out.mapped[job];
             mapped.tasks += size as u32;
             mapped.late += count(late);
@@ -221,7 +227,9 @@
 
     /// What no machine can take waits, and counts as late.
     fn rest(&mut self, job: usize, late: bool) {
-        let rest = self.left(job) as u32;
+        let rest = self.left(job);
+        self.rooms.take(&self.jobs[job], rest);
+        let rest = rest as u32;
         let mapped = &mut self.out.mapped[job];
         mapped.tasks += rest;
         mapped.late += if late { rest } else { 0 };
@@ -249,7 +257,12 @@
 }
 
 /// Maps all waiting tasks. `startup_count` tasks of each job are startup tasks.
-pub fn forecast(jobs: &[JobView], machines: &[MachineView], startup_count: u32) -> Forecast {
+pub fn forecast(
+    jobs: &[JobView],
+    machines: &[MachineView],
+    rooms: &TeamRooms,
+    startup_count: u32,
+) -> Forecast {
     let mut machines = machines.to_vec();
     let mut mapper = Mapper {
         jobs,
@@ -261,6 +274,7 @@
                 zones: job.zones.clone(),
             })
             .collect(),
+        rooms: rooms.clone(),
         machines: MachineIndex::new(&mut machines),
         out: Forecast {
             mapped: vec![Mapped::default(); jobs.len()],
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -9,6 +9,7 @@
 mod index;
 pub mod now;
 pub mod preempt;
+pub mod rooms;
 pub mod service;
 pub mod views;
 
@@ -269,8 +270,8 @@
     pub rented_in: f64,
     pub image: u32,
     pub image_gb: f64,
-    /// How many more tasks its team may have on machines.
-    pub quota: u32,
+    /// Its team's number among the rooms of limited teams; none if it has no limit.
+    pub team: Option<usize>,
     /// Machines on which it failed.
     pub avoid: HashSet<String>,
     /// Sorts of machine that are protected from it.
@@ -320,7 +321,7 @@
 /// Jobs in the order of the batch queue: by earliest time. Teams within their guarantee go first,
 /// and then the more urgent: what takes room that more urgent work waits for would only be
 /// stopped again to make it. A job that has waited too long to begin goes before all of them.
-fn batch_order(jobs: &[JobView]) -> Vec<usize> {
+pub fn batch_order(jobs: &[JobView]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..jobs.len()).collect();
     order.sort_by(|a, b| {
         let (a, b) = (&jobs[*a], &jobs[*b]);
--- a/src/placement/now.rs
+++ b/src/placement/now.rs
@@ -3,12 +3,13 @@
 
 use super::gang::{Place, gang_places};
 use super::index::MachineIndex;
+use super::rooms::TeamRooms;
 use super::{
     By, Hold, JobView, MachineView, NEAR, Need, SLACK, Start, Zones, batch_order,
     first as first_class, startup_order,
 };
 use std::cmp::Ordering;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashSet};
 
 /// A job that found no room, and when it would if it waits.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,19 +24,25 @@
 pub struct Placing {
     pub starts: Vec<Start>,
     pub waits: Vec<Waits>,
+    /// Gangs that wait for their team's limit alone, or nearly so: machines are free for them soon.
+    pub blocked: Vec<usize>,
     /// Machines looked at.
     pub steps: u64,
 }
 
 /// Part of the machines that may be set aside at a time, for work that waits for room.
 const MOST_HELD: f64 = 0.5;
+/// A gang whose machines are free within so many seconds waits for its team's limit, if that is short:
+/// what others use of it takes about as long to end.
+const READY_WITHIN_S: f64 = 10.0;
+/// After so many times as long, its limit comes first.
+const RESERVES_BEFORE_MACHINES: f64 = 3.0;
 /// Most jobs whose waiting room is worked out in one turn.
 const MOST_LOOKED_AHEAD: usize = 16;
 
 struct Progress {
     next: usize,
     begun: u32,
-    quota: u32,
     zones: Zones,
     /// Nothing more of it can start now.
     over: bool,
@@ -46,6 +53,11 @@
 struct Placer<'a> {
     jobs: &'a [JobView],
     progress: Vec<Progress>,
+    /// What limited teams may still start.
+    rooms: TeamRooms,
+    reserve_after: f64,
+    /// Limited teams of which a gang that has to wait for the limit has had its machines set aside.
+    looked_ahead_for: HashSet<usize>,
     machines: MachineIndex<'a>,
     /// The room that each machine has now.
     free: Vec<Need>,
@@ -110,10 +122,15 @@
         let progress = &self.progress[job];
         match progress.over {
             true => 0,
-            false => (self.jobs[job].waiting.len() - progress.next).min(progress.quota as usize),
+            false => self.jobs[job].waiting.len() - progress.next,
         }
     }
 
+    /// Of these, what its team's limit allows.
+    fn allowed(&self, job: usize) -> usize {
+        self.left(job).min(self.rooms.tasks(&self.jobs[job]))
+    }
+
     /// Machines where a task of the job could start now, best first.
     fn candidates(&mut self, job: usize) -> Candidates {
         let view = &self.jobs[job];
@@ -155,7 +172,7 @@
         let progress = &mut self.progress[job];
         let task = view.waiting[progress.next];
         progress.next += 1;
-        progress.quota -= 1;
+        self.rooms.take(view, 1);
         progress.begun += 1;
         let zone = self.machines.zone(at.machine);
         *progress.zones.entry(zone).or_default() += 1;
@@ -172,8 +189,13 @@
 
     /// Starts as many of a job's tasks as find room, `most` at the most.
     fn run(&mut self, job: usize, most: usize) {
+        let mut wanted = self.allowed(job).min(most);
+        if wanted == 0 {
+            self.progress[job].over = true;
+            self.keep_room_for(job, 1);
+            return;
+        }
         let candidates = self.candidates(job);
-        let mut wanted = self.left(job).min(most);
         for at in candidates {
             while wanted > 0 {
                 let view = &self.jobs[job];
@@ -208,15 +230,28 @@
             false => 1,
         };
         while self.left(job) >= size {
+            let is_limited = self.rooms.tasks(view) < size;
+            if is_limited && !self.may_look_ahead_for(view, size) {
+                break;
+            }
             if self.looked_ahead >= MOST_LOOKED_AHEAD {
                 break;
             }
             let places = gang_places(view, size, &mut self.machines, &mut self.out.steps);
-            let Some(places) = places.filter(|p| self.zones_allow(job, p)) else {
+            let places = places.filter(|p| self.zones_allow(job, p));
+            let starts = places.iter().flatten().map(|p| p.start);
+            let start = starts.fold(0.0, f64::max);
+            let is_ready = places.is_some() && start <= READY_WITHIN_S;
+            let starts_now = places.is_some() && start <= SLACK && !is_limited;
+            let waits_for_limit = is_limited || self.rooms.is_kept_for(view);
+            if !starts_now && waits_for_limit && (is_ready || self.must_not_wait(view, size)) {
+                self.rooms.close(view.team);
+                self.out.blocked.push(job);
+            }
+            let Some(places) = places else {
                 break;
             };
-            let start = places.iter().map(|p| p.start).fold(0.0, f64::max);
-            if start <= SLACK {
+            if starts_now {
                 for place in places {
                     let at = Candidate {
                         machine: place.machine,
@@ -229,7 +264,8 @@
             }
             // Whoever cannot be in time whatever is done goes by its next time: smaller gangs that
             // can be are not kept waiting for a large one that is late anyway.
-            if view.due > 0.0
+            if !is_limited
+                && view.due > 0.0
                 && view.next_due > view.due
                 && view.by == By::Start
                 && start > view.due
@@ -261,6 +297,34 @@
         self.progress[job].over = true;
     }
 
+    /// Whether machines are set aside for work that waits for its team's limit: of each team for one job
+    /// at a time, which has waited for long enough.
+    fn may_look_ahead_for(&mut self, job: &JobView, size: usize) -> bool {
+        let is_overdue = self.rooms.is_overdue(job, size, self.reserve_after);
+        is_overdue
+            && job
+                .team
+                .is_some_and(|team| self.looked_ahead_for.insert(team))
+    }
+
+    /// Whether a gang has waited for so long that it has room kept for it before there are machines: none
+    /// are rented for what its limit keeps waiting.
+    fn must_not_wait(&self, job: &JobView, size: usize) -> bool {
+        let after = self.reserve_after * RESERVES_BEFORE_MACHINES;
+        self.rooms.is_overdue(job, size, after)
+    }
+
+    /// A task that is larger than what its team has left, and that a machine could take now. Not where a
+    /// gang has that kept for it.
+    fn keep_room_for(&mut self, job: usize, size: usize) {
+        let view = &self.jobs[job];
+        let is_overdue = self.rooms.is_overdue(view, size, self.reserve_after);
+        let is_kept = self.rooms.is_kept_from(view);
+        if is_overdue && !is_kept && self.candidates(job).next().is_some() {
+            self.rooms.close(view.team);
+        }
+    }
+
     /// Array tasks in one zone, or spread, depend on where the others are.
     fn zones_allow(&self, job: usize, places: &[Place]) -> bool {
         let view = &self.jobs[job];
@@ -301,14 +365,24 @@
     }
 }
 
+/// What the teams' limits say of a mapping.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits<'a> {
+    pub rooms: &'a TeamRooms,
+    /// A gang that its team's limit has held up for so many seconds has what comes free kept for it.
+    pub reserve_after: f64,
+}
+
 /// Starts what can start now, `most` tasks at the most. `startup_count` tasks of each job are
 /// startup tasks.
 pub fn place(
     jobs: &[JobView],
     machines: &mut [MachineView],
+    limits: Limits,
     startup_count: u32,
     most: usize,
 ) -> Placing {
+    let mut batch = batch_order(jobs);
     let least = jobs
         .iter()
         .map(|j| j.need.cpus)
@@ -323,19 +397,20 @@
             .map(|job| Progress {
                 next: 0,
                 begun: job.begun,
-                quota: job.quota,
                 zones: job.zones.clone(),
                 over: false,
                 put_off: false,
             })
             .collect(),
+        reserve_after: limits.reserve_after,
+        looked_ahead_for: HashSet::new(),
+        rooms: limits.rooms.clone(),
         machines,
         free,
         held: 0,
         looked_ahead: 0,
         out: Placing::default(),
     };
-    let mut batch = batch_order(jobs);
     let startup = startup_order(jobs);
     let (mut batch_at, mut startup_at) = (0, 0);
     let mut starts_seen = 0;
@@ -351,7 +426,7 @@
             batch_at += 1;
         }
         let in_startup = |placer: &Placer, job: usize| {
-            placer.left(job) > 0
+            placer.allowed(job) > 0
                 && placer.progress[job].begun < startup_count
                 && !placer.is_whole(job)
         };
--- a/src/placement/scale_tests.rs
+++ b/src/placement/scale_tests.rs
@@ -3,6 +3,8 @@
 
 use super::forecast::forecast;
 use super::now::place;
+use super::rooms::TeamRooms;
+use super::tests::unlimited;
 use super::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -164,7 +166,6 @@
         job.image_gb = rng.random_range(1.0..6.0);
         job.spot = rng.random_bool(0.8);
         job.rented_in = 27.5;
-        job.quota = 100_000;
         if rng.random_bool(0.2) {
             job.begun = 1;
         }
@@ -189,7 +190,7 @@
     let (jobs, machines) = scene.draw(seed);
     let mut all = String::new();
     let mut text = String::new();
-    let placed = place(&jobs, &mut machines.clone(), 2, 400);
+    let placed = place(&jobs, &mut machines.clone(), unlimited(), 2, 400);
     for start in &placed.starts {
         writeln!(all, "{} {} {}", start.job, start.task, start.machine).unwrap();
     }
@@ -217,7 +218,7 @@
     for wait in &placed.waits {
         writeln!(all, "{} {:?} {}", wait.job, wait.start, wait.held).unwrap();
     }
-    let predicted = forecast(&jobs, &machines, 2);
+    let predicted = forecast(&jobs, &machines, &TeamRooms::default(), 2);
     let sum = |of: &dyn Fn(&super::forecast::Mapped) -> u32| -> u32 {
         predicted.mapped.iter().map(of).sum()
     };
@@ -269,12 +270,12 @@
         let began = std::time::Instant::now();
         let mut steps = 0;
         for _ in 0..rounds {
-            steps += place(&jobs, &mut machines.clone(), 2, 400).steps;
+            steps += place(&jobs, &mut machines.clone(), unlimited(), 2, 400).steps;
         }
         let placing = began.elapsed() / rounds;
         let began = std::time::Instant::now();
         for _ in 0..rounds {
-            steps += forecast(&jobs, &machines, 2).steps;
+            steps += forecast(&jobs, &machines, &TeamRooms::default(), 2).steps;
         }
         let forecasting = began.elapsed() / rounds;
         println!(
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -2,6 +2,7 @@
 
 use super::{cache, now, preempt, views};
 use crate::jobs::{Entry, JobSpec, Urgency, writer};
+use crate::limits;
 use crate::membership;
 use crate::metrics::{self, Duty, Metrics};
 use crate::node::{Core, Node, wall_ms};
@@ -47,6 +48,7 @@
     membership::note_lead(node, lead_mark);
     if let Some(mark) = lead_mark {
         membership::assign_work(node, mark).await;
+        limits::service::lead(node, mark).await;
     }
     let began = Instant::now();
     if !plan_changes(node, began) {
@@ -54,6 +56,7 @@
     }
     let worked = began.elapsed();
     note_cycle(&mut node.core().metrics, worked);
+    limits::service::change_own(node, began).await;
     writer::write(node, lead_mark.is_some()).await;
     worked
 }
@@ -96,6 +99,7 @@
     clear_gone(node, core);
     cache::refresh_pulls(node, core, now);
     core.metrics.views += cache::refresh(core, &node.me, now, now_ms);
+    limits::refresh(core);
     Some(views::build(node, core, now, now_ms))
 }
 
@@ -104,11 +108,23 @@
     let placing = {
         let _charge = node.processor_time.charge(Duty::Placement);
         let startup = node.policy.startup_count;
-        now::place(&views.jobs, &mut views.machines, startup, MOST_STARTS)
+        let limits = now::Limits {
+            rooms: &views.rooms,
+            reserve_after: core.limits.reserve_after_s(),
+        };
+        now::place(
+            &views.jobs,
+            &mut views.machines,
+            limits,
+            startup,
+            MOST_STARTS,
+        )
     };
     let _charge = node.processor_time.charge(Duty::Planning);
     core.metrics.steps += placing.steps;
     core.metrics.starts += placing.starts.len() as u64;
+    let blocked = placing.blocked.iter().map(|at| views.jobs[*at].id.clone());
+    limits::note_blocked(core, blocked.collect());
     plan(core, views, &placing.starts);
     make_room(node, core, views, &placing.waits, now);
 }
@@ -293,7 +309,7 @@
     }
 }
 
-fn plan(core: &mut Core, views: &mut views::Views, starts: &[super::Start]) {
+fn plan(core: &mut Core, views: &views::Views, starts: &[super::Start]) {
     // All tasks of a gang take part in one attempt, by whose number they find one another.
     let mut gang_attempts = HashMap::new();
     let mut refused = HashSet::new();
@@ -312,31 +328,11 @@
     }
     core.plans
         .rank(starts.iter().map(|s| views.jobs[s.job].id.as_str()));
-    let mut gangs_let_in = HashSet::new();
     for start in starts {
         let job = &views.jobs[start.job];
         if refused.contains(&start.job) {
             continue;
         }
-        // Jobs of one team share its limit, which each was mapped under by itself; a gang takes
-        // its whole share with its first task.
-        let first_of_gang = gang_attempts.contains_key(&start.job);
-        let share = match first_of_gang {
-            true => job.need.times(job.waiting.len() as f64),
-            false => job.need,
-        };
-        if let Some(room) = views.team_room.get_mut(&views.teams[start.job])
-            && !gangs_let_in.contains(&start.job)
-        {
-            if !share.fits(room) {
-                refused.insert(start.job);
-                continue;
-            }
-            room.sub(&share);
-            if first_of_gang {
-                gangs_let_in.insert(start.job);
-            }
-        }
         let machine = &views.machines[start.machine];
         let id = (job.id.clone(), start.task);
         let attempt = match gang_attempts.get(&start.job) {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,7 +1,18 @@
 use super::forecast::forecast;
 use super::now::place;
+use super::rooms::TeamRooms;
 use super::*;
 
+static NO_LIMITS: TeamRooms = TeamRooms::none();
+
+/// No team has a limit.
+pub fn unlimited() -> now::Limits<'static> {
+    now::Limits {
+        rooms: &NO_LIMITS,
+        reserve_after: 0.0,
+    }
+}
+
 pub fn machine(name: &str, free_at: f64, cpus: f64) -> MachineView {
     MachineView {
         name: name.into(),
@@ -55,14 +66,14 @@
         rented_in: 0.0,
         image: 0,
         image_gb: 1.0,
-        quota: 1000,
+        team: None,
         avoid: HashSet::new(),
         barred: Arc::default(),
     }
 }
 
 fn show(jobs: &[JobView], machines: &[MachineView]) -> String {
-    let out = place(jobs, &mut machines.to_vec(), 2, 1000);
+    let out = place(jobs, &mut machines.to_vec(), unlimited(), 2, 1000);
     let mut text = String::new();
     for s in &out.starts {
         text.push_str(&format!(
@@ -70,7 +81,7 @@
             jobs[s.job].id, s.task, machines[s.machine].name
         ));
     }
-    let out = forecast(jobs, machines, 2);
+    let out = forecast(jobs, machines, &TeamRooms::default(), 2);
     for (job, mapped) in jobs.iter().zip(&out.mapped) {
         text.push_str(&format!(
             "{}: {} of {} late\n",
@@ -175,7 +186,7 @@
             view.next_due = view.due;
             view.arrived = *arrived;
         }
-        let out = place(&views, &mut self.machines, 2, 400);
+        let out = place(&views, &mut self.machines, unlimited(), 2, 400);
         for start in &out.starts {
             let job = &mut self.jobs[start.job];
             let waiting = job.0.waiting.iter().filter(|t| **t != start.task);
@@ -251,7 +262,7 @@
         let jobs: Vec<JobView> = (0..20)
             .map(|n| job(&format!("j{n}"), 1.0, 50, 60.0))
             .collect();
-        place(&jobs, &mut machines, 2, 400).steps
+        place(&jobs, &mut machines, unlimited(), 2, 400).steps
     };
     let (small, large) = (steps(100), steps(1000));
     assert!(
@@ -275,7 +286,7 @@
                 gang
             })
             .collect();
-        let out = super::forecast::forecast(&jobs, &machines, 2);
+        let out = super::forecast::forecast(&jobs, &machines, &TeamRooms::default(), 2);
         let tasks: u32 = out.mapped.iter().map(|m| m.tasks).sum();
         let late: u32 = out.mapped.iter().map(|m| m.late).sum();
         (out.steps, tasks, late)
@@ -300,8 +311,8 @@
     other.barred = Arc::new(BTreeSet::from([sort]));
     for (index, view) in [own, other].into_iter().enumerate() {
         let jobs = [JobView { index: 0, ..view }];
-        let placed = now::place(&jobs, &mut machines(), 2, 100);
-        let mapped = forecast::forecast(&jobs, &machines(), 2);
+        let placed = now::place(&jobs, &mut machines(), unlimited(), 2, 100);
+        let mapped = forecast::forecast(&jobs, &machines(), &TeamRooms::default(), 2);
         let expected = if index == 0 { 2 } else { 0 };
         assert_eq!(placed.starts.len(), expected);
         assert_eq!(mapped.used.len(), expected.min(1));
--- a/src/placement/views.rs
+++ b/src/placement/views.rs
@@ -2,12 +2,14 @@
 
 use super::cache::{BOOT, Progress, spec_of, tasks_on};
 use super::preempt::{Claim, Occupant};
+use super::rooms::TeamRooms;
 use super::{By, JobView, MachineView, Need};
 use crate::cells::protection::{barred, protected_sorts};
 use crate::jobs::{Entry, JobRecord, JobSpec, Shape, Urgency};
 use crate::membership::assignment::spot_of;
 use crate::node::{Core, Node, age_s};
 use crate::policy::JobFacts;
+use crate::settings::Team;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Instant;
@@ -40,9 +42,8 @@
     /// Per job: the kind of machine that its tasks most need.
     pub pools: Vec<String>,
     pub claims: Vec<Claim>,
-    pub teams: Vec<String>,
-    /// What each limited team may still take.
-    pub team_room: HashMap<String, Need>,
+    /// What limited teams may still start.
+    pub rooms: TeamRooms,
     /// Jobs that fail everywhere, or whose room is all protected: no machine cures that, so they rent
     /// nothing.
     pub hopeless: Vec<bool>,
@@ -176,10 +177,10 @@
         machines: core.views.machine_views(now, silent),
         pools: Vec::new(),
         claims: Vec::new(),
-        teams: Vec::new(),
-        team_room: team_room(node, &used),
+        rooms: TeamRooms::default(),
         hopeless: Vec::new(),
     };
+    let teams = team_rooms(node, core, &used, &mut views.rooms);
     let within = within_guarantee(node, core);
     let protected = Arc::new(protected_sorts(node, core, now_ms));
     let mut largest: HashMap<String, f64> = HashMap::new();
@@ -209,8 +210,10 @@
         let age = age_s(job.record.since_ms(), now_ms);
         let size = f64::from(spec.tasks) * progress.share;
         let begin = begin_within(spec, size, largest[&spec.class]);
-        let rooms = &views.team_room;
-        let Some(mut view) = job_view(node, core, &job.record, progress, rooms, (age, begin))
+        let Some(team) = teams.get(spec.team.as_str()) else {
+            continue; // a team that is not in the settings any more
+        };
+        let Some(mut view) = job_view(node, core, &job.record, progress, *team, (age, begin))
         else {
             continue;
         };
@@ -224,7 +227,6 @@
         view.index = views.jobs.len();
         views.jobs.push(view);
         views.pools.push(progress.pool.clone());
-        views.teams.push(spec.team.clone());
         views.claims.push(Claim {
             urgency: urgency_of(core, spec),
             guaranteed,
@@ -240,7 +242,7 @@
     core: &Core,
     record: &JobRecord,
     progress: &Progress,
-    rooms: &HashMap<String, Need>,
+    team: Option<usize>,
     (age, begin_within): (f64, f64),
 ) -> Option<JobView> {
     let spec = &record.spec;
@@ -283,7 +285,7 @@
         rented_in: core.kind(&progress.pool).map_or(0.0, |k| k.boot_s * BOOT),
         image: progress.image,
         image_gb: spec.image_gb,
-        quota: quota_left(spec, rooms),
+        team,
         avoid: failed_on.unwrap_or_default(),
         barred: Arc::default(),
     })
@@ -359,34 +361,41 @@
     there
 }
 
-/// What each team may still take under its limit; a limit of 0 is none.
-fn team_room(node: &Node, used: &HashMap<String, Need>) -> HashMap<String, Need> {
-    let left = |max: f64, used: f64| if max > 0.0 { max - used } else { f64::INFINITY };
-    let teams = node.settings.params.teams.iter();
-    teams
-        .map(|team| {
-            let now = used.get(&team.name).copied().unwrap_or_default();
-            let room = Need {
-                cpus: left(team.cpus_max, now.cpus),
-                gpus: left(team.gpus_max, now.gpus),
-                memory_gb: f64::INFINITY,
-            };
-            (team.name.clone(), room)
-        })
-        .collect()
+/// Adds the room of each limited team; the number by which each team's jobs name it.
+fn team_rooms<'a>(
+    node: &'a Node,
+    core: &Core,
+    used: &HashMap<String, Need>,
+    rooms: &mut TeamRooms,
+) -> HashMap<&'a str, Option<usize>> {
+    let mut numbers = HashMap::new();
+    for team in &node.settings.params.teams {
+        let number = team
+            .is_limited()
+            .then(|| match core.limits.divided(core, &team.name) {
+                Some(divided) => {
+                    let number = rooms.add(divided.room(), divided.whole());
+                    if let Some((job, part)) = core.limits.kept_for(&divided) {
+                        rooms.keep_for(number, job, part);
+                    }
+                    number
+                }
+                None => {
+                    let now = used.get(&team.name).copied().unwrap_or_default();
+                    rooms.add(room_beside(team, &now), room_beside(team, &Need::default()))
+                }
+            });
+        numbers.insert(team.name.as_str(), number);
+    }
+    numbers
 }
 
-/// How many more tasks the team's limit allows. Several jobs of one team share it, so the
-/// placing loop counts again as it plans.
-fn quota_left(spec: &JobSpec, rooms: &HashMap<String, Need>) -> u32 {
-    let Some(room) = rooms.get(&spec.team) else {
-        return 0; // a team that is not in the settings any more
-    };
-    let mut left = u32::MAX >> 1;
-    for (room, each) in [(room.cpus, spec.cpus), (room.gpus, spec.gpus)] {
-        if room.is_finite() && each > 0.0 {
-            left = left.min(((room + 1e-6) / each).floor().max(0.0) as u32);
-        }
+/// What a team may take beside what it uses, if one controller has its limit whole; a limit of 0 is none.
+fn room_beside(team: &Team, used: &Need) -> Need {
+    let left = |max: f64, used: f64| if max > 0.0 { max - used } else { f64::INFINITY };
+    Need {
+        cpus: left(team.cpus_max, used.cpus),
+        gpus: left(team.gpus_max, used.gpus),
+        memory_gb: f64::INFINITY,
     }
-    left
 }
--- a/src/renting/decide.rs
+++ b/src/renting/decide.rs
@@ -6,8 +6,10 @@
 };
 use crate::cells::protection;
 use crate::fleet::{Machine, Use};
+use crate::limits::PUBLISHED_BYTES;
 use crate::membership::assignment::Member;
 use crate::node::{Core, Node, age_s};
+use crate::placement::batch_order;
 use crate::placement::forecast::{Forecast, forecast};
 use crate::placement::views::{Views, kinds_for, room_of};
 use crate::policy::KindFacts;
@@ -56,17 +58,18 @@
 /// Largest k: beyond it the machines that late tasks would fill are the limit anyway.
 const MOST_K: f64 = 20.0;
 
-/// A startup queue that grows is published before its period is over, but not more often.
+/// A startup queue that grows, and a gang that waits for its team's limit, are published before the period
+/// is over, but not more often.
 const EARLY: Duration = Duration::from_secs(2);
 
-/// Makes up what this controller publishes: at each period, and when its startup queue grew.
+/// Makes up what this controller publishes: at each period, and when there is news before that.
 pub fn look_ahead(node: &Node, core: &mut Core, views: &Views, now: Instant, now_ms: u64) {
     let startup_count = node.policy.startup_count;
     let due = now >= core.rent.next_event;
-    if !due && !startup_grew(core, views, startup_count, now) {
+    if !due && !has_news(core, views, startup_count, now) {
         return;
     }
-    let mapping = forecast(&views.jobs, &views.machines, startup_count);
+    let mapping = forecast(&views.jobs, &views.machines, &views.rooms, startup_count);
     core.metrics.steps += mapping.steps;
     let mut record = ForecastSummaryRecord {
         at_ms: now_ms,
@@ -74,6 +77,7 @@
         unwritten: core.plans.unwritten(),
         fallen: false,
         kinds: outlooks(node, core, views, &mapping),
+        blocked: core.limits.to_publish(),
     };
     for (kind, outlook) in &mut record.kinds {
         outlook.booting = booting(core, &node.me, kind);
@@ -138,25 +142,35 @@
 /// From this part of its own on, a controller is taken to lack writes.
 const HUNGRY: f64 = 0.75;
 
-fn startup_grew(core: &Core, views: &Views, startup_count: u32, now: Instant) -> bool {
+fn has_news(core: &Core, views: &Views, startup_count: u32, now: Instant) -> bool {
     let Some((at, record)) = &core.rent.published else {
         return true;
     };
     if now.saturating_duration_since(*at) < EARLY {
         return false;
     }
+    if record.blocked != core.limits.to_publish() {
+        return true;
+    }
     let published: u32 = record.kinds.values().map(|o| o.startup).sum();
     let length: u32 = startup_queues(views, startup_count).values().sum();
     // The remedial rule takes off one and divides: less than two more changes nothing.
     length >= published + 2
 }
 
+/// Of each job's waiting tasks, those that its team's limit lets start: no machine helps the others.
+fn permitted(views: &Views) -> Vec<u32> {
+    let order = batch_order(&views.jobs);
+    views.rooms.clone().permitted(&views.jobs, &order)
+}
+
 /// Startup tasks waiting, per kind.
 fn startup_queues(views: &Views, startup_count: u32) -> BTreeMap<String, u32> {
     let mut queues: BTreeMap<String, u32> = BTreeMap::new();
+    let permitted = permitted(views);
     for (index, job) in views.jobs.iter().enumerate() {
         if !views.hopeless[index] {
-            let left = job.waiting.len() as u32;
+            let left = permitted[index];
             let queue = startup_count.saturating_sub(job.begun).min(left);
             *queues.entry(views.pools[index].clone()).or_default() += queue;
         }
@@ -188,6 +202,7 @@
         let pool = pools.entry(progress.pool.clone()).or_default();
         pool.running += f64::from(progress.placed) * progress.share;
     }
+    let permitted = permitted(views);
     for (index, job) in views.jobs.iter().enumerate() {
         let name = &views.pools[index];
         let Some(kind) = core.kind(name).filter(|_| !views.hopeless[index]) else {
@@ -198,9 +213,10 @@
         let waiting = job.waiting.len() as u32;
         let share = job.need.share(&room_of(kind));
         pool.waiting += waiting;
-        pool.counted_now += f64::from(waiting) * share;
+        let permitted = f64::from(permitted[index]) * share;
+        pool.counted_now += permitted;
         if job.due < 0.0 {
-            pool.late_now += f64::from(waiting) * share;
+            pool.late_now += permitted;
         }
         pool.counted_next += f64::from(mapped.tasks) * share;
         pool.late_next += f64::from(mapped.late) * share;
@@ -452,12 +468,17 @@
     // The record must fit its value; the rest goes with the next event.
     held.sort_by(|a, b| a.remaining_hold_s.total_cmp(&b.remaining_hold_s));
     let kinds = core.kinds.len().max(1);
+    let published = match core.limits.are_divided(core) {
+        true => PUBLISHED_BYTES,
+        false => 0,
+    };
+    let value_bytes = node.settings.value_bytes().saturating_sub(published);
     let room = match core.replica.has_begun() {
         true => {
             let longest = held.iter().map(|h| h.name.len() + 3).max().unwrap_or(1);
-            (node.settings.value_bytes() / kinds).saturating_sub(OUTLOOK_BYTES) / longest
+            (value_bytes / kinds).saturating_sub(OUTLOOK_BYTES) / longest
         }
-        false => (node.settings.value_bytes() / (kinds * 160)).min(MOST_HELD),
+        false => (value_bytes / (kinds * 160)).min(MOST_HELD),
     };
     held.truncate(room.max(1));
     held
--- a/src/renting/decide/tests.rs
+++ b/src/renting/decide/tests.rs
@@ -34,6 +34,7 @@
             unwritten: number,
             fallen: true,
             kinds: (0..kinds).map(of).collect(),
+            blocked: BTreeMap::new(),
         };
         let bytes = serde_json::to_vec(&record).unwrap().len();
         assert!(bytes <= value, "{bytes} of {value}");
--- a/src/renting/mod.rs
+++ b/src/renting/mod.rs
@@ -6,6 +6,7 @@
 pub mod service;
 
 use crate::policy::Bands;
+use rowanmill_limits::WaitingUnit;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -60,6 +61,9 @@
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub fallen: bool,
     pub kinds: BTreeMap<String, Outlook>,
+    /// By team, the gang there that only the team's limit keeps from starting.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub blocked: BTreeMap<String, WaitingUnit>,
 }
 
 fn is_none(count: &f64) -> bool {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -34,6 +34,12 @@
 pub fn outlook_key(member: &str) -> String {
     format!("r/o/{member}")
 }
+/// The allotments of a team's limit. Keys take no spaces: what is not plain in a name is written in
+/// hexadecimal, so that two names never share a key.
+pub fn allotment_key(team: &str) -> String {
+    format!("{ALLOTMENTS}{}", rowanmill_limits::record::key_part(team))
+}
+const ALLOTMENTS: &str = "r/a/";
 /// What all controllers can do; see `membership::schema_versions`.
 pub const FORMS_KEY: &str = "r/forms";
 pub const LEADER_KEY: &str = "r/leader";
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -3,6 +3,8 @@
 
 use crate::fleet::Fleet;
 use crate::jobs::{Entry, Final, JobRecord, Layout, Page, PageId, Stage, Stored};
+use crate::limits::KeptAllotment;
+use crate::limits::service::read_record;
 use crate::membership::assignment::{Assignment, Member};
 use crate::membership::schema_versions::SchemaVersions;
 use crate::pipelines::{Need, Pipelines};
@@ -104,6 +106,8 @@
     pub incarnations: BTreeMap<String, u64>,
     pub leader: Option<Versioned<LeaderRecord>>,
     pub assignment: Option<Versioned<Assignment>>,
+    /// How the limit of each team is divided.
+    pub allotments: BTreeMap<String, KeptAllotment>,
     /// What each controller published last.
     pub outlooks: BTreeMap<String, Versioned<ForecastSummaryRecord>>,
     /// Pages whose job is not there (any more).
@@ -248,6 +252,7 @@
                     self.incarnations.insert(name.to_owned(), incarnation);
                 }
             }
+            "a" => self.put_allotments(key, name, data, mark),
             "o" => keep(&mut self.outlooks, key, name, data, mark),
             "shares" if self.assignment.as_ref().is_none_or(|s| s.mark < mark) => {
                 self.assignment = read(key, data).map(|record| Versioned { record, mark });
@@ -259,6 +264,16 @@
         }
     }
 
+    fn put_allotments(&mut self, key: &str, name: &str, data: &str, mark: u64) {
+        let Some(team) = rowanmill_limits::record::team_of(name) else {
+            return;
+        };
+        if self.allotments.get(&team).is_none_or(|a| a.mark < mark) {
+            let record = read_record(key, data);
+            self.allotments.insert(team, Versioned { record, mark });
+        }
+    }
+
     fn depart(&mut self, id: &str, record: &JobRecord) {
         if self
             .departed
@@ -519,6 +534,12 @@
             "n" if self.presence.get(name).is_some_and(|p| p.mark < mark) => {
                 self.presence.remove(name);
             }
+            "a" => {
+                let team = rowanmill_limits::record::team_of(name).unwrap_or_default();
+                if self.allotments.get(&team).is_some_and(|a| a.mark < mark) {
+                    self.allotments.remove(&team);
+                }
+            }
             "leader" if self.leader.as_ref().is_some_and(|l| l.mark < mark) => {
                 self.leader = None;
             }
--- a/src/testing/mod.rs
+++ b/src/testing/mod.rs
@@ -3,6 +3,7 @@
 
 mod fault_scenarios;
 mod fleet_scale;
+mod limits;
 mod load_profile;
 mod tests;
 
@@ -33,6 +34,10 @@
     value_kb: f64,
     next: Option<(f64, usize, f64)>,
     times: Times,
+    /// Whether teams' limits are divided.
+    divides_limits: bool,
+    /// The limit of the team, in CPUs.
+    limit: f64,
     /// All controllers of a test share one process and its memory.
     memory_mb: f64,
 }
@@ -42,6 +47,8 @@
     value_kb: 8.0,
     next: None,
     times: USUAL,
+    divides_limits: false,
+    limit: 6.0,
     memory_mb: 10_000.0,
 };
 
@@ -69,7 +76,7 @@
             "mesh_addr": seats[number].mesh, "known": known,
             "endpoints": {"cloud": cloud, "state": state},
             "params": {"size": seats.len(), "zones": ["a"],
-                "teams": [{"name": "t", "cpus_max": 6.0}],
+                "teams": [{"name": "t", "cpus_max": version.limit}],
                 "workers": {"report_s": 0.3, "lease_s": version.times.lease_s, "gang_wait_s": 5.0,
                     "gang_peer_s": 2.0, "cancel_s": version.times.cancel_s},
                 "state": {"rps": 1000.0, "write_rps": 500.0, "value_kb": version.value_kb,
@@ -78,13 +85,17 @@
                 "limits": {"core_share": 1.0, "mem_mb": version.memory_mb, "sockets": 500},
                 "skew_ms": 25.0}});
         let settings = crate::settings::Settings::parse(&settings.to_string(), "test").unwrap();
+        let options = crate::Options {
+            limits: version.divides_limits.then(Default::default),
+            ..crate::Options::default()
+        };
         let (stop, stopped) = oneshot::channel();
         let thread = std::thread::spawn(move || {
             let mut builder = tokio::runtime::Builder::new_current_thread();
             let runtime = builder.enable_all().build().unwrap();
             runtime.block_on(async {
                 tokio::select! {
-                    ended = crate::run_as(version.can, settings, crate::policy::Policy::default(), None) => ended.unwrap(),
+                    ended = crate::run_as(version.can, settings, crate::policy::Policy::default(), options) => ended.unwrap(),
                     _ = stopped => {}
                 }
             });
--- /dev/null
+++ b/tests/limits/client.rs
@@ -0,0 +1,53 @@
+//! What the client tells, in a format that scripts rely on, and during a takeover.
+
+use crate::site::{CONTROLLERS, Site, job, until};
+use serde_json::Value;
+use std::time::Duration;
+
+/// The format's fields and words, with what differs from run to run left out.
+fn shape(text: &str) -> String {
+    let mut answer: Value = serde_json::from_str(text).unwrap();
+    for field in ["since_ms", "controller", "free_here"] {
+        if answer.get(field).is_some() {
+            answer[field] = Value::Null;
+        }
+    }
+    if let Some(teams) = answer.get_mut("teams") {
+        for team in teams.as_array_mut().unwrap() {
+            for part in team["controllers"].as_array_mut().unwrap() {
+                for field in ["allotment", "used", "waiting"] {
+                    part[field] = Value::Null;
+                }
+            }
+        }
+    }
+    serde_json::to_string_pretty(&answer).unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_client_tells_which_limit_holds_a_job() {
+    let mut site = Site::new(&[("t", 2.0), ("u", 0.0)], Duration::from_secs(30)).await;
+    site.start_all().await;
+    site.submit(0, &job(1, "t", 5, 1.0)).await;
+    site.submit(1, &job(2, "u", 1, 1.0)).await;
+    let world = site.cloud.world.clone();
+    let running = |id: &str| world.lock().unwrap().tasks_of(id);
+    let full = || running("job-1") == 2 && running("job-2") == 1;
+    until("the limit is used", async || full()).await;
+    let (code, status) = site.client(&["status", "--output", "json"]);
+    assert_eq!(code, 0);
+    let (code, held) = site.client(&["explain", "job-1", "--output", "json"]);
+    assert_eq!(code, 0);
+    let (_, free) = site.client(&["explain", "job-2", "--output", "json"]);
+    let shown = [status, held, free].map(|text| shape(&text)).join("\n");
+    insta::assert_snapshot!(shown);
+    assert_eq!(site.client(&["explain", "job-77"]).0, 3, "never accepted");
+    // No controller is there; the records still tell.
+    (0..CONTROLLERS).for_each(|number| site.kill(number));
+    let (code, text) = site.client(&["explain", "job-1"]);
+    assert_eq!(code, 0);
+    assert!(text.contains("the limit of team t holds it"), "{text}");
+    site.state.set_out(true);
+    let (code, _) = site.client(&["status"]);
+    assert_eq!(code, 4, "to be asked again");
+}
--- /dev/null
+++ b/tests/limits/failures.rs
@@ -0,0 +1,104 @@
+//! Limits hold while controllers end, stand still or are cut off, and the state service answers late.
+
+use crate::races::for_all;
+use crate::site::{CONTROLLERS, Site, TIMES, Teams, job, until};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rowanmill_testing::state::Fate;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+const TEAMS: Teams = &[("a", 10.0), ("b", 10.0), ("c", 5.0), ("d", 2.5)];
+const JOBS: usize = 2000;
+
+/// Two thousand submissions at once over four teams, while controllers, the leader first, are killed at
+/// seeded moments and are back at once or late.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn thousands_of_submissions_while_controllers_are_killed() {
+    let mut site = Site::new(TEAMS, Duration::from_millis(100)).await;
+    site.start_all().await;
+    let team = |n: usize| TEAMS[n % TEAMS.len()].0;
+    let jobs: Vec<_> = (0..JOBS).map(|n| job(n, team(n), 1, 0.5)).collect();
+    let mut random = StdRng::seed_from_u64(7);
+    for wave in jobs.chunks(JOBS / 5) {
+        let submissions = wave.iter().enumerate();
+        for_all(submissions.map(|(n, job)| site.submit(n % CONTROLLERS, job))).await;
+        let victim = match site.leader() {
+            Some(leader) if random.random_bool(0.5) => leader,
+            _ => random.random_range(0..CONTROLLERS),
+        };
+        site.kill(victim);
+        if random.random_bool(0.5) {
+            let pause = random.random_range(500..2500);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        site.start(victim);
+    }
+    let ids: Vec<String> = (0..JOBS).map(|n| format!("job-{n}")).collect();
+    site.see_all_end(&ids, Duration::from_secs(150)).await;
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
+
+/// The state service holds starts and transfers back and carries them out late, is out for all, and
+/// refuses one; a controller stands still for longer than its presence. A team is at its limit throughout.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_transactions_outages_and_a_controller_that_stands_still() {
+    let mut site = Site::new(&[("t", 6.0)], Duration::from_millis(400)).await;
+    site.start_all().await;
+    let jobs: Vec<_> = (0..30).map(|n| job(n, "t", 10, 1.0)).collect();
+    let submissions = jobs.iter().enumerate();
+    for_all(submissions.map(|(n, job)| site.submit(n % CONTROLLERS, job))).await;
+    let full = || site.most()["t"] == 6.0;
+    until("the limit is used", async || full()).await;
+    for key in ["r/p/", "r/q/", "r/a/"] {
+        site.state.divert(key, Fate::HeldBack, 2);
+        site.state.divert(key, Fate::AnswerLost, 1);
+    }
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    site.state.let_go();
+    let leader = site.leader().unwrap_or(0);
+    site.signal(leader, "-STOP");
+    tokio::time::sleep(TIMES.lease() + Duration::from_secs(2)).await;
+    site.signal(leader, "-CONT");
+    site.state.set_out(true);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.state.set_out(false);
+    let refused = (leader + 1) % CONTROLLERS;
+    site.cuts[refused].store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    site.cuts[refused].store(false, Ordering::Relaxed);
+    site.state.let_go();
+    let ids: Vec<String> = (0..30).map(|n| format!("job-{n}")).collect();
+    site.see_all_end(&ids, Duration::from_secs(120)).await;
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
+
+/// Tasks of cancelled jobs on machines that hang or reach nobody hold their team's limit until they are
+/// provably gone, whatever becomes of the controller that placed them; then others start in their place.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cancelled_tasks_on_lost_machines_hold_the_limit() {
+    let mut site = Site::new(&[("t", 4.0)], Duration::from_secs(60)).await;
+    site.start_all().await;
+    site.submit(0, &job(1, "t", 4, 1.0)).await;
+    let world = site.cloud.world.clone();
+    let running = |id: &str| world.lock().unwrap().tasks_of(id);
+    until("it runs", async || running("job-1") == 4).await;
+    {
+        let mut world = site.cloud.world.lock().unwrap();
+        world.mute = world.machines_of("job-1");
+    }
+    site.cancel("job-1").await;
+    site.submit(1, &job(2, "t", 2, 1.0)).await;
+    let leader = site.leader().unwrap_or(0);
+    site.kill(leader);
+    let cancelled = Instant::now();
+    until("the next one starts", async || running("job-2") == 2).await;
+    assert!(
+        cancelled.elapsed() > TIMES.lease() / 2,
+        "the limit was held"
+    );
+    site.start(leader);
+    site.cancel("job-2").await;
+    assert_eq!(site.broken(), Vec::<String>::new());
+    assert_eq!(site.most()["t"], 4.0);
+}
--- /dev/null
+++ b/tests/limits/races.rs
@@ -0,0 +1,66 @@
+//! Several controllers draw on one limit at the same instant.
+
+use crate::site::{CONTROLLERS, Site, gang, job, until};
+use std::time::{Duration, Instant};
+
+/// Jobs of one task each come to all controllers at once, and there are three slots. Never a fourth, and
+/// no slot stays empty.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn controllers_race_for_the_last_slot() {
+    let mut site = Site::new(&[("t", 3.0)], Duration::from_millis(300)).await;
+    site.start_all().await;
+    let jobs: Vec<_> = (0..60).map(|n| job(n, "t", 1, 1.0)).collect();
+    let submissions = jobs.iter().enumerate();
+    let submissions = submissions.map(|(n, job)| site.submit(n % CONTROLLERS, job));
+    for_all(submissions).await;
+    let ids: Vec<String> = (0..60).map(|n| format!("job-{n}")).collect();
+    site.see_all_end(&ids, Duration::from_secs(90)).await;
+    assert_eq!(site.broken(), Vec::<String>::new());
+    assert_eq!(site.most()["t"], 3.0, "the whole limit is used");
+}
+
+/// With the settings of these tests: the gang has room kept for it after 9 s at the latest, which the others
+/// hear 5 s later at the most; what runs then ends within a second; a forecast counts it after 5 s, the
+/// leader rents for it after another 5, and its machines are up and heard of 3 s later.
+const GANG_BEGINS_WITHIN: Duration = Duration::from_secs(30);
+
+/// A gang that needs most of the limit begins within a stated time while small tasks of its team wait at
+/// every controller, for much longer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gang_that_needs_most_of_the_limit_begins_amid_a_flood() {
+    let mut site = Site::new(&[("t", 8.0)], Duration::from_millis(700)).await;
+    site.start_all().await;
+    let flood: Vec<_> = (0..12).map(|n| job(n, "t", 60, 1.0)).collect();
+    let submissions = flood.iter().enumerate();
+    for_all(submissions.map(|(n, job)| site.submit(n % CONTROLLERS, job))).await;
+    let running = |id: &str| site.cloud.world.lock().unwrap().tasks_of(id);
+    let flooded = || site.most()["t"] == 8.0;
+    until("the limit is used", async || flooded()).await;
+    let submitted = Instant::now();
+    site.submit(0, &gang(100, "t", 6, 1.0)).await;
+    until("the gang runs", async || running("job-100") == 6).await;
+    let took = submitted.elapsed();
+    assert!(
+        took < Duration::from_secs(20),
+        "the gang began after {took:?}"
+    );
+    let waits = site.stage("job-11").await;
+    assert_ne!(waits, "done", "the flood goes on");
+    for n in 0..12 {
+        site.cancel(&format!("job-{n}")).await;
+    }
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
+
+/// Runs all of them at the same time.
+pub async fn for_all(work: impl Iterator<Item = impl Future<Output = ()>>) {
+    let mut work: Vec<_> = work.map(Box::pin).collect();
+    std::future::poll_fn(|context| {
+        work.retain_mut(|one| one.as_mut().poll(context).is_pending());
+        match work.is_empty() {
+            true => std::task::Poll::Ready(()),
+            false => std::task::Poll::Pending,
+        }
+    })
+    .await;
+}
