--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -1,6 +1,8 @@
 //! Records progress: one put per changed page, many to a transaction, starts guarded by the keys
 //! of their job, page and machines' rentals. Nothing is started before its record stands.
 
+mod withdrawal;
+
 use super::ends::{end_jobs, tidy};
 use super::pages::entry_bytes;
 use super::plans::Changes;
@@ -17,6 +19,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use withdrawal::{applies, settle, withdraw, withdraw_broken_gangs, withdraw_unstartable};
 
 /// How long exits may wait to be recorded together, while writes are at ease and when they are
 /// scarce. Nobody waits for one of our own jobs: their machine's room is used again meanwhile, the
@@ -417,106 +420,5 @@
     }
 }
 
-/// Starts planned on machines that take none any more, because they are on their way back, are planned
-/// anew elsewhere. They could never be written, and the machine, which is not empty with them, would
-/// never go.
-fn withdraw_unstartable(core: &mut Core, me: &Member) {
-    let fleet = &core.replica.fleet.machines;
-    let takes = |name: &str| {
-        let machine = fleet.get(name);
-        machine.is_some_and(|m| m.owner == *me && m.state == Use::Open)
-    };
-    let changes = core
-        .plans
-        .all()
-        .flat_map(|(id, changes)| changes.iter().map(move |(task, entry)| (id, *task, entry)));
-    let lost: Vec<_> = changes
-        .filter(|(_, _, entry)| matches!(entry, Entry::Placed { machine, .. } if !takes(machine)))
-        .map(|(id, task, _)| (id.clone(), task))
-        .collect();
-    for id in lost {
-        core.unplan(&id);
-    }
-}
-
-/// A gang whose planned start lost a machine before it was written is planned anew as a whole: the
-/// rest would gather, wait for the missing task and fail.
-fn withdraw_broken_gangs(core: &mut Core) {
-    let is_placed = |e: &Entry| matches!(e, Entry::Placed { .. });
-    let mut broken = Vec::new();
-    for (id, changes) in core.plans.all() {
-        let job = core.replica.jobs.get(id).map(|j| &j.record.spec);
-        let Some(spec) = job.filter(|s| s.is_gang()) else {
-            continue;
-        };
-        let starts = changes.iter().filter(|(_, e)| is_placed(e));
-        let starts: Vec<u32> = starts.map(|(task, _)| *task).collect();
-        if !starts.is_empty() && !(0..spec.tasks).all(|t| is_placed(core.entry(id, t))) {
-            broken.extend(starts.into_iter().map(|task| (id.clone(), task)));
-        }
-    }
-    for id in broken {
-        core.unplan(&id);
-    }
-}
-
-/// Takes back planned starts, of all the pages or of those that the failed guards concern.
-fn withdraw(core: &mut Core, batch: &[Dirty], failed: Option<&[String]>) {
-    for d in batch {
-        let concerned = failed.is_none_or(|failed| {
-            failed.is_empty() || d.guards.iter().any(|g| failed.contains(&g.k))
-        });
-        if !concerned {
-            continue;
-        }
-        let planned = core.plans.of(&d.job).into_iter().flatten();
-        let starts: Vec<u32> = planned
-            .filter(|(task, entry)| {
-                core.replica.page_of(**task) == d.number && matches!(entry, Entry::Placed { .. })
-            })
-            .map(|(task, _)| *task)
-            .collect();
-        for task in starts {
-            core.unplan(&(d.job.clone(), task));
-        }
-    }
-}
-
-/// Whether a planned change still follows from what the records hold.
-fn applies(held: &Entry, planned: &Entry) -> bool {
-    match (held, planned) {
-        (held, planned) if held == planned => false,
-        (Entry::Done, _) => false,
-        (_, Entry::Done) => true,
-        (Entry::Placed { attempt, .. }, Entry::Waiting { last }) => attempt == last,
-        (Entry::Waiting { .. }, Entry::Waiting { .. }) => false,
-        (held, Entry::Placed { attempt, .. }) => held.last_attempt() < *attempt,
-    }
-}
-
-/// Forgets planned changes that the records now hold, or that no longer apply to them.
-fn settle(core: &mut Core) {
-    let replica = &core.replica;
-    core.workers.stops.retain(|((id, task), attempt), _| {
-        let entry = replica
-            .jobs
-            .contains_key(id)
-            .then(|| replica.entry(id, *task));
-        matches!(entry, Some(Entry::Placed { attempt: held, .. }) if held == attempt)
-    });
-    let mut over = Vec::new();
-    for (id, changes) in core.plans.all() {
-        let known = core.replica.jobs.contains_key(id);
-        for (task, entry) in changes {
-            if !known || !applies(core.replica.entry(id, *task), entry) {
-                over.push((id.clone(), *task));
-            }
-        }
-    }
-    for id in over {
-        core.unplan(&id);
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -2,90 +2,21 @@
 //! that polls are answered and a takeover begins without reading everything anew.
 
 use crate::fleet::Fleet;
-use crate::jobs::{Entry, Final, JobRecord, Layout, Page, PageId, Stage, Stored};
+mod records;
+
+use crate::jobs::{Entry, Final, JobRecord, Layout, Page, PageId, Stored};
 use crate::limits::KeptAllotment;
 use crate::limits::service::read_record;
 use crate::membership::assignment::{Assignment, Member};
 use crate::membership::schema_versions::SchemaVersions;
 use crate::pipelines::{Need, Pipelines};
 use crate::renting::ForecastSummaryRecord;
+use records::entry_in;
+pub use records::{Job, LeaderRecord, PresenceRecord, Versioned};
 use rowanmill_state::{Change, Pair};
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PresenceRecord {
-    pub incarnation: u64,
-    pub lease: u64,
-    /// What its version can do; see `membership::schema_versions`. The version before says nothing.
-    #[serde(default)]
-    pub forms: u32,
-}
-
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct LeaderRecord {
-    pub member: String,
-    pub incarnation: u64,
-    pub lease: u64,
-}
-
-#[derive(Debug, Clone, PartialEq)]
-pub struct Versioned<T> {
-    pub record: T,
-    pub mark: u64,
-}
-
-#[derive(Debug, Clone)]
-pub struct Job {
-    pub record: JobRecord,
-    pub mark: u64,
-    pub pages: BTreeMap<PageId, Versioned<Page>>,
-    pub done: u32,
-    pub placed: u32,
-}
-
-/// Where a task stands by a job's pages: by its dense page, if there is one, and else by its wide one.
-fn entry_in<'a>(
-    page: impl Fn(PageId) -> Option<&'a Versioned<Page>>,
-    layout: &Layout,
-    task: u32,
-) -> &'a Entry {
-    let on = |id: PageId| Some(page(id)?.record.get(layout.slot(id, task)));
-    let dense = layout.uses_dense().then(|| on(layout.dense_of(task)));
-    dense
-        .flatten()
-        .or_else(|| on(layout.wide_of(task)))
-        .unwrap_or(&Entry::NEVER_STARTED)
-}
-
-impl Job {
-    pub fn stage(&self) -> Stage {
-        if self.record.cancelled {
-            Stage::Cancelled
-        } else if self.placed > 0 {
-            Stage::Running
-        } else {
-            Stage::Queued
-        }
-    }
-
-    /// A task's entry came in place of another.
-    fn count(&mut self, before: &Entry, after: &Entry) {
-        let done = |e: &Entry| u32::from(*e == Entry::Done);
-        let placed = |e: &Entry| u32::from(matches!(e, Entry::Placed { .. }));
-        self.done = self.done + done(after) - done(before);
-        self.placed = self.placed + placed(after) - placed(before);
-    }
-
-    pub fn entry(&self, layout: &Layout, task: u32) -> &Entry {
-        entry_in(|page| self.pages.get(&page), layout, task)
-    }
-
-    pub fn page_mark(&self, page: PageId) -> u64 {
-        self.pages.get(&page).map_or(0, |p| p.mark)
-    }
-}
-
 const MOST_ENDED: usize = 20_000;
 const MOST_DEPARTED: usize = 1_000;
 
