Log what a move of a job between cells relies on

Cause: the log of a failed run of work_that_spills_leaves_protected_machines_alone showed the moves, but not the waiting that each cell counted nor the capacity summary that it relied on.

--- a/crates/rowanmill-cells/src/plan.rs
+++ b/crates/rowanmill-cells/src/plan.rs
@@ -179,9 +179,12 @@
             if !counts.admit(&action) {
                 continue;
             }
-            if matches!(action, Action::Withdraw { .. }) && is_excluded(*state) {
-                // Protection that began after the job was adopted: it returns to its home.
-                self.record_ineligible(id, job.record.epoch, round.now);
+            if matches!(action, Action::Withdraw { .. }) {
+                log_withdrawal(id, &job.record, *state);
+                if is_excluded(*state) {
+                    // Protection that began after the job was adopted: it returns to its home.
+                    self.record_ineligible(id, job.record.epoch, round.now);
+                }
             }
             actions.push(action);
         }
@@ -342,6 +345,26 @@
     )
 }
 
+/// Logs why an owned job leaves the cell, by the state that decided it.
+fn log_withdrawal(id: &str, job: &LedgerJob, state: LocalJobState) {
+    let LocalJobState::Open {
+        age_ms,
+        excluded_by_protection,
+        ..
+    } = state
+    else {
+        return;
+    };
+    tracing::debug!(
+        job = id,
+        waited_ms = age_ms,
+        excluded_by_protection,
+        spill_count = job.spill_count,
+        declined_by = ?job.declined_by,
+        "job leaves the cell"
+    );
+}
+
 fn ownership_of(job: &Versioned<LedgerJob>) -> OwnershipVersion {
     OwnershipVersion {
         epoch: job.record.epoch,
--- a/crates/rowanmill-cells/src/service/reconcile.rs
+++ b/crates/rowanmill-cells/src/service/reconcile.rs
@@ -6,6 +6,7 @@
 use super::CellCoordinator;
 use crate::plan::{Action, LocalJobs};
 use crate::record::LedgerJob;
+use crate::replica::LedgerReplica;
 use crate::scheduler::{AdoptionOutcome, Scheduler};
 use crate::transaction::LedgerChange;
 use std::collections::BTreeSet;
@@ -142,7 +143,11 @@
         };
         let mut planner = self.planner.lock().unwrap();
         match outcome {
-            AdoptionOutcome::Adopted | AdoptionOutcome::AlreadyEnded => {}
+            AdoptionOutcome::Adopted => {
+                let LedgerJob { epoch, home, .. } = &held.record;
+                tracing::debug!(job = id, epoch, home, "job adopted");
+            }
+            AdoptionOutcome::AlreadyEnded => {}
             AdoptionOutcome::Relinquished { epoch } => planner.record_relinquished(id, epoch),
             AdoptionOutcome::Ineligible { reason } => {
                 tracing::info!(job = id, reason, "job declined");
@@ -154,8 +159,11 @@
     /// Makes the change of the ledger that an action requires.
     async fn change_ledger(&self, action: &Action) {
         let max_operations = self.config.ledger.txn_ops;
-        let change =
-            LedgerChange::for_action(&self.view().replica, &self.cell, action, max_operations);
+        let change = {
+            let view = self.view();
+            log_handover(&view.replica, action, Instant::now());
+            LedgerChange::for_action(&view.replica, &self.cell, action, max_operations)
+        };
         let Some(change) = change.filter(|change| !change.transaction.operations.is_empty()) else {
             return;
         };
@@ -181,3 +189,28 @@
         }
     }
 }
+
+/// Logs the capacity summary of the cell that a job is handed over to: its content, how long ago it was read,
+/// and the ledger's revisions of it and of the job.
+fn log_handover(replica: &LedgerReplica, action: &Action, now: Instant) {
+    let Action::HandOver { id, to, reason } = action else {
+        return;
+    };
+    let Some(cell) = replica.cells.get(to) else {
+        return;
+    };
+    let age = cell
+        .presence_updated_at
+        .map(|at| now.saturating_duration_since(at));
+    let presence = cell.presence.as_ref();
+    tracing::debug!(
+        job = id,
+        to,
+        ?reason,
+        job_revision = replica.jobs.get(id).map(|job| job.revision),
+        summary_revision = presence.map(|presence| presence.revision),
+        summary_age_ms = age.map(|age| age.as_millis() as u64),
+        summary = ?presence.map(|presence| &presence.record.summary),
+        "handing job over"
+    );
+}
