Mend spilled jobs that stayed for good where no machines were

Cause: a job that a cell had just adopted counted its waiting from its acceptance and left at once (waited_ms=2714), by a capacity summary from before it was sent (revision 2 against 16) that did not count jobs on their way; after three such moves it was never moved again, at its home without machines. Besides, a cloud that once refused counted as refusing until the leader changed. Change: waiting counts from adopted_ms in the cell's record; summaries count jobs outside the records, as of a revision (as_of), and what was sent since is subtracted; moves beyond the bound are slower, not forbidden; refusals are forgotten in time.

--- a/crates/rowanmill-cells/src/plan.rs
+++ b/crates/rowanmill-cells/src/plan.rs
@@ -18,6 +18,7 @@
 use crate::replica::{LedgerReplica, Versioned};
 use crate::scheduler::{LocalJobState, TrackedJob, WithdrawalCondition};
 use dependencies::DependencyState;
+use handover::AvailableRoom;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -39,6 +40,15 @@
     now: Instant,
 }
 
+/// A job that the ledger says this cell owns.
+#[derive(Debug, Clone, Copy)]
+struct OwnedJob<'a> {
+    id: &'a str,
+    job: &'a Versioned<LedgerJob>,
+    /// Its state in the cell's own records.
+    state: LocalJobState,
+}
+
 /// An owned job that was found ineligible for the cell.
 #[derive(Debug, Clone, Copy)]
 struct Ineligibility {
@@ -86,7 +96,8 @@
     takeover_after: Duration,
     spill_after: Option<Duration>,
     max_concurrent_spills: usize,
-    max_spills_per_job: u32,
+    /// Moves of a job after which it moves more slowly.
+    max_hasty_spills: u32,
     ranking: Ranking,
     /// Since when owned jobs have been missing from the cell's records.
     missing_since: BTreeMap<String, Instant>,
@@ -104,7 +115,7 @@
             takeover_after: config.takeover_after(),
             spill_after: config.spill.after_s.map(Duration::from_secs_f64),
             max_concurrent_spills: config.spill.at_once,
-            max_spills_per_job: config.spill.moves,
+            max_hasty_spills: config.spill.moves,
             ranking: config.ranking.clone(),
             missing_since: BTreeMap::new(),
             relinquished: BTreeMap::new(),
@@ -164,6 +175,7 @@
 
     fn plan_owned(&mut self, round: Round<'_>, local_jobs: &LocalJobs) -> Vec<Action> {
         let mut actions = Vec::new();
+        let mut room = AvailableRoom::of_other_cells(round, &self.cell);
         let mut counts = RoundCounts {
             adoptions: 0,
             final_state_reads: 0,
@@ -173,9 +185,18 @@
             let Some(job) = round.replica.jobs.get(id) else {
                 continue;
             };
-            let Some(action) = self.next_action(round, id, job, *state, counts.leaving) else {
+            let owned = OwnedJob {
+                id,
+                job,
+                state: *state,
+            };
+            let Some(action) = self.next_action(round, &room, owned) else {
                 continue;
             };
+            let is_spill = matches!(action, Action::Withdraw { .. }) && !is_excluded(*state);
+            if is_spill && counts.leaving >= self.max_concurrent_spills {
+                continue;
+            }
             if !counts.admit(&action) {
                 continue;
             }
@@ -186,6 +207,9 @@
                     self.record_ineligible(id, job.record.epoch, round.now);
                 }
             }
+            if let Action::HandOver { to, .. } = &action {
+                room.take(to, &job.record);
+            }
             actions.push(action);
         }
         actions
@@ -219,15 +243,14 @@
             && now.saturating_duration_since(since) < ACCEPTANCE_WRITE_GRACE
     }
 
-    /// The next action for one owned job, when `leaving` jobs are leaving the cell.
+    /// The next action for one owned job, when other cells have this room.
     fn next_action(
         &self,
         round: Round<'_>,
-        id: &str,
-        job: &Versioned<LedgerJob>,
-        state: LocalJobState,
-        leaving: usize,
+        room: &AvailableRoom,
+        owned: OwnedJob<'_>,
     ) -> Option<Action> {
+        let OwnedJob { id, job, state } = owned;
         let id = id.to_owned();
         let cancelled = job.record.cancelled;
         match state {
@@ -237,7 +260,7 @@
             } => None,
             LocalJobState::Open { age_ms, .. } => {
                 let leaves =
-                    is_excluded(state) || self.should_spill(round, &job.record, age_ms, leaving);
+                    is_excluded(state) || self.should_spill(round, room, &job.record, age_ms);
                 leaves.then(|| Action::Withdraw {
                     id,
                     ownership: ownership_of(job),
@@ -258,7 +281,7 @@
                 id,
                 final_state: FinalState::Cancelled,
             }),
-            LocalJobState::Absent => self.next_action_for_absent(round, id, &job.record),
+            LocalJobState::Absent => self.next_action_for_absent(round, room, id, &job.record),
         }
     }
 
@@ -266,11 +289,12 @@
     fn next_action_for_absent(
         &self,
         round: Round<'_>,
+        room: &AvailableRoom,
         id: String,
         job: &LedgerJob,
     ) -> Option<Action> {
         if self.relinquished.contains_key(&id) {
-            return self.next_action_for_relinquished(round, id, job);
+            return self.next_action_for_relinquished(round, room, id, job);
         }
         if self.ineligible.contains_key(&id) {
             let epoch = job.epoch;
@@ -291,19 +315,20 @@
     fn next_action_for_relinquished(
         &self,
         round: Round<'_>,
+        room: &AvailableRoom,
         id: String,
         job: &LedgerJob,
     ) -> Option<Action> {
         if self.ineligible.contains_key(&id) {
             // Without another cell that could take it, it stays until one is present.
-            let to = self.choose_cell_for_declined(round, job)?;
+            let to = self.choose_cell_for_declined(round, room, job)?;
             return Some(Action::HandOver {
                 id,
                 to,
                 reason: HandoverReason::Declined,
             });
         }
-        match self.choose_roomiest_cell(round, job) {
+        match self.choose_roomiest_cell(room, job) {
             Some(to) => Some(Action::HandOver {
                 id,
                 to,
@@ -334,6 +359,28 @@
     }
 }
 
+/// Number of owned jobs that wait without being counted by the cell's own records, because they are about to
+/// be put into these, or to leave the cell.
+pub fn count_jobs_outside_records(
+    replica: &LedgerReplica,
+    owned: &[(String, LocalJobState)],
+) -> u64 {
+    let outside = owned
+        .iter()
+        .filter(|(id, state)| waits_outside_records(replica, id, *state));
+    outside.count() as u64
+}
+
+fn waits_outside_records(replica: &LedgerReplica, id: &str, state: LocalJobState) -> bool {
+    let is_outside = matches!(state, LocalJobState::Absent | LocalJobState::Withdrawn);
+    is_outside
+        && replica.jobs.get(id).is_some_and(|job| {
+            let dependencies = DependencyState::of(replica, &job.record);
+            // What depends on open jobs waits for these, not for a machine.
+            !job.record.cancelled && !matches!(dependencies, DependencyState::Pending)
+        })
+}
+
 /// Whether a job that has not started is kept from starting by protection.
 fn is_excluded(state: LocalJobState) -> bool {
     matches!(
--- a/crates/rowanmill-cells/src/plan/tests.rs
+++ b/crates/rowanmill-cells/src/plan/tests.rs
@@ -199,6 +199,88 @@
     assert!(!leaves(0, 8), "too many are leaving");
 }
 
+/// A job that moved as often as `moves` says is not left for good where nothing runs it: it waits longer in
+/// each further cell, and then moves as long as another has room. With `moves` of 0 none ever does.
+#[test]
+fn a_job_that_moved_often_moves_again_more_slowly() {
+    let now = Instant::now();
+    let leaves = |moves: u32, waited_s: u64| {
+        let mut config = config();
+        config.spill.moves = moves;
+        let mut record = job_of("a");
+        record.spill_count = moves;
+        let replica = replica_with(record, now);
+        let mut planner = Planner::new("a", &config);
+        let local_jobs = owned_in_state(open(false, waited_s));
+        let actions = plan_once(&mut planner, &replica, &local_jobs, now);
+        matches!(actions[..], [Action::Withdraw { .. }])
+    };
+    // Twice the 60 s of the file, and the 15 s in which all summaries are read again.
+    assert!(!leaves(3, 134));
+    assert!(leaves(3, 135));
+    assert!(!leaves(0, 100_000));
+}
+
+/// What was sent to a cell after its capacity summary was computed is subtracted from it, and so is what the
+/// same round sends there. A summary without a revision counts from its own.
+#[test]
+fn room_that_was_given_away_is_not_offered_again() {
+    let now = Instant::now();
+    let sized = |owner: &str, cpus: f64| LedgerJob {
+        description: json!({"cpus": cpus, "sacks": 1}),
+        ..job_of(owner)
+    };
+    let handovers = |ledger_revision: Option<u64>, sent_cpus: f64| {
+        let mut replica = replica_with(sized("a", 3.0), now);
+        insert_job(&mut replica, "job-2", sized("a", 3.0));
+        insert_job(&mut replica, "job-sent", sized("c", sent_cpus));
+        let summary = CapacitySummary {
+            ledger_revision,
+            ..with_free_cpus(8.0)
+        };
+        set_present(&mut replica, "c", summary, now);
+        let mut planner = Planner::new("a", &config());
+        let mut local_jobs = LocalJobs::default();
+        for id in [JOB, "job-2"] {
+            planner.record_relinquished(id, EPOCH);
+            local_jobs
+                .owned
+                .push((id.to_owned(), LocalJobState::Absent));
+        }
+        let actions = plan_once(&mut planner, &replica, &local_jobs, now);
+        let to = actions.iter().map(|action| match action {
+            Action::HandOver { to, .. } => to.clone(),
+            other => format!("{other:?}"),
+        });
+        to.collect::<Vec<_>>()
+    };
+    // `b` has 4 CPUs free, `c` has 8 less what it does not know of.
+    assert_eq!(handovers(Some(REVISION), 8.0), ["c", "c"]);
+    assert_eq!(handovers(Some(REVISION - 1), 3.0), ["c", "b"]);
+    assert_eq!(handovers(Some(REVISION - 1), 8.0), ["b", "b"]);
+    assert_eq!(handovers(None, 8.0), ["b", "b"]);
+}
+
+/// Owned jobs that are about to enter the cell's records or to leave them count as waiting. Those that were
+/// cancelled, or that wait for other jobs, do not.
+#[test]
+fn jobs_outside_the_records_count_as_waiting() {
+    let now = Instant::now();
+    let mut replica = replica_with(job_of("a"), now);
+    let mut dependent = job_of("a");
+    dependent.depends_on = vec![JOB.to_owned()];
+    insert_job(&mut replica, "job-dependent", dependent);
+    insert_job(&mut replica, "job-cancelled", job_of("a").into_cancelled());
+    let count = |id: &str, state| count_jobs_outside_records(&replica, &[(id.to_owned(), state)]);
+    assert_eq!(count(JOB, LocalJobState::Absent), 1);
+    assert_eq!(count(JOB, LocalJobState::Withdrawn), 1);
+    assert_eq!(count(JOB, open(false, 1)), 0, "the records count it");
+    assert_eq!(count(JOB, LocalJobState::Completed), 0);
+    assert_eq!(count("job-dependent", LocalJobState::Absent), 0);
+    assert_eq!(count("job-cancelled", LocalJobState::Absent), 0);
+    assert_eq!(count("job-unknown", LocalJobState::Absent), 0);
+}
+
 /// A cell that cannot run a job hands it to its home, or keeps it until another cell is present.
 #[test]
 fn declined_job_is_handed_to_its_home() {
--- a/crates/rowanmill-cells/src/record.rs
+++ b/crates/rowanmill-cells/src/record.rs
@@ -42,6 +42,10 @@
     format!("c/e/{id}")
 }
 
+/// Fields of a job's description, by their names on the wire.
+const CPUS_FIELD: &str = "cpus";
+const TASKS_FIELD: &str = "sacks";
+
 /// Epoch of a job that has been with the cell that accepted it from the start.
 pub const FIRST_EPOCH: u64 = 1;
 
@@ -137,6 +141,14 @@
         self.with_owner(&self.owner)
     }
 
+    /// CPUs that its tasks use together, by its description; 0 if that does not say, or says no amount.
+    pub fn requested_cpus(&self) -> f64 {
+        let number = |field: &str| self.description.get(field).and_then(Value::as_f64);
+        let cpus = number(CPUS_FIELD).zip(number(TASKS_FIELD));
+        let cpus = cpus.map_or(0.0, |(cpus, tasks)| cpus * tasks);
+        if cpus.is_finite() { cpus.max(0.0) } else { 0.0 }
+    }
+
     /// The record of a job that its user cancelled.
     pub fn into_cancelled(mut self) -> Self {
         self.cancelled = true;
@@ -170,13 +182,18 @@
     /// When it was computed, in milliseconds since the Unix epoch.
     #[serde(rename = "at_ms")]
     pub computed_ms: u64,
-    /// Number of tasks that wait for a machine.
+    /// Number of tasks that wait for a machine. A job that the cell owns and that is not in its records, or
+    /// is leaving them, counts as one.
     #[serde(rename = "waiting")]
     pub waiting_tasks: u64,
     /// CPUs of the cell's machines that no task uses.
     pub free_cpus: f64,
     /// The cell's cloud has not recently refused a rental.
     pub can_rent: bool,
+    /// The jobs that the cell owns are counted as of this revision of the ledger; absent from summaries of
+    /// versions that do not say.
+    #[serde(rename = "as_of", default, skip_serializing_if = "Option::is_none")]
+    pub ledger_revision: Option<u64>,
 }
 
 /// A cell's presence.
--- a/crates/rowanmill-cells/src/scheduler.rs
+++ b/crates/rowanmill-cells/src/scheduler.rs
@@ -13,7 +13,8 @@
     Open {
         /// At least one of its tasks was started.
         has_started: bool,
-        /// Milliseconds that it has been in the records.
+        /// Milliseconds for which this cell could have run it: since the cell adopted it or, if the cell
+        /// accepted it itself, since its tasks could first start.
         age_ms: u64,
         /// Another cell accepted it, and all machines that it may use are protected.
         excluded_by_protection: bool,
--- a/crates/rowanmill-cells/src/service/presence.rs
+++ b/crates/rowanmill-cells/src/service/presence.rs
@@ -1,7 +1,8 @@
 //! The cell's lease in the ledger, and the capacity that it publishes with its presence.
 
 use super::CellCoordinator;
-use crate::record::CellPresence;
+use crate::plan::count_jobs_outside_records;
+use crate::record::{CapacitySummary, CellPresence};
 use crate::replica::Versioned;
 use crate::scheduler::Scheduler;
 use crate::transaction::{self, Transaction};
@@ -63,7 +64,7 @@
         let presence = CellPresence {
             controller: self.controller.clone(),
             incarnation: self.incarnation,
-            summary: scheduler.capacity_summary(),
+            summary: self.capacity_summary(scheduler),
         };
         let Some(transaction) = self.presence_transaction(&presence, lease) else {
             return;
@@ -75,6 +76,21 @@
         }
     }
 
+    /// The cell's capacity, with the ledger's jobs that are not in the cell's records.
+    fn capacity_summary<S: Scheduler>(&self, scheduler: &S) -> CapacitySummary {
+        // In this order a job that enters the records in between is counted twice rather than not at all, and
+        // one that becomes the cell's after the revision was read is not passed over by other cells.
+        let ledger_revision = self.view().replica.revision;
+        let owned = self.owned_job_states(scheduler);
+        let summary = scheduler.capacity_summary();
+        let outside_records = count_jobs_outside_records(&self.view().replica, &owned);
+        CapacitySummary {
+            waiting_tasks: summary.waiting_tasks + outside_records,
+            ledger_revision: Some(ledger_revision),
+            ..summary
+        }
+    }
+
     fn presence_transaction(&self, presence: &CellPresence, lease: u64) -> Option<Transaction> {
         let view = self.view();
         let cell = view.replica.cells.get(&self.cell);
--- a/crates/rowanmill-cells/src/service/reconcile.rs
+++ b/crates/rowanmill-cells/src/service/reconcile.rs
@@ -7,7 +7,7 @@
 use crate::plan::{Action, LocalJobs};
 use crate::record::LedgerJob;
 use crate::replica::LedgerReplica;
-use crate::scheduler::{AdoptionOutcome, Scheduler};
+use crate::scheduler::{AdoptionOutcome, LocalJobState, Scheduler};
 use crate::transaction::LedgerChange;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -64,13 +64,8 @@
 
 impl CellCoordinator {
     fn plan_round<S: Scheduler>(&self, scheduler: &S, now: Instant) -> Vec<Action> {
-        let owned = {
-            let view = self.view();
-            self.planner.lock().unwrap().owned_jobs(&view.replica)
-        };
-        let states = scheduler.local_job_states(&owned);
         let local_jobs = LocalJobs {
-            owned: owned.into_iter().zip(states).collect(),
+            owned: self.owned_job_states(scheduler),
             tracked: scheduler.tracked_jobs(),
         };
         let runnable = self.runnable_takeover_candidates(scheduler, now);
@@ -79,6 +74,19 @@
         planner.plan(&view.replica, &local_jobs, now, &runnable)
     }
 
+    /// The jobs that the ledger says this cell owns, with their states in the cell's own records.
+    pub(super) fn owned_job_states<S: Scheduler>(
+        &self,
+        scheduler: &S,
+    ) -> Vec<(String, LocalJobState)> {
+        let owned = {
+            let view = self.view();
+            self.planner.lock().unwrap().owned_jobs(&view.replica)
+        };
+        let states = scheduler.local_job_states(&owned);
+        owned.into_iter().zip(states).collect()
+    }
+
     fn runnable_takeover_candidates<S: Scheduler>(
         &self,
         scheduler: &S,
--- a/crates/rowanmill-cells/tests/records.rs
+++ b/crates/rowanmill-cells/tests/records.rs
@@ -97,6 +97,7 @@
             waiting_tasks: 122,
             free_cpus: 12.5,
             can_rent: true,
+            ledger_revision: None,
         },
         ..plain
     };
@@ -104,6 +105,37 @@
     insta::assert_snapshot!("cell_presence", trace);
 }
 
+/// A summary that says as of which revision it counts the cell's jobs.
+#[test]
+fn capacity_summary_json_with_its_revision_is_stable() {
+    let summary = CapacitySummary {
+        ledger_revision: Some(41),
+        ..CapacitySummary::default()
+    };
+    let json = serde_json::to_string(&summary).unwrap();
+    let expected = r#"{"at_ms":0,"waiting":0,"free_cpus":0.0,"can_rent":false,"as_of":41}"#;
+    assert_eq!(json, expected);
+    let read: CapacitySummary = serde_json::from_str(&json).unwrap();
+    assert_eq!(read, summary);
+}
+
+/// What a job's tasks use together; an amount that is none counts as nothing.
+#[test]
+fn requested_cpus_follow_from_the_description() {
+    let cpus =
+        |description| LedgerJob::accepted_by("stone", 0, Vec::new(), description).requested_cpus();
+    assert_eq!(cpus(json!({"cpus": 1.5, "sacks": 4})), 6.0);
+    let none = [
+        json!({}),
+        json!({"cpus": 1.5}),
+        json!({"cpus": "2", "sacks": 4}),
+        json!({"cpus": -1.0, "sacks": 4}),
+        json!({"cpus": 1e308, "sacks": 1_000_000}),
+        json!(null),
+    ];
+    assert!(none.into_iter().all(|description| cpus(description) == 0.0));
+}
+
 #[test]
 fn drain_and_registrations_json_is_stable() {
     let mut trace = String::new();
--- a/src/api/submit.rs
+++ b/src/api/submit.rs
@@ -79,6 +79,7 @@
         placer: None,
         released_ms: None,
         ledger: None,
+        adopted_ms: None,
         foreign: false,
         withdrawn: false,
     }
--- a/src/cells/local_state.rs
+++ b/src/cells/local_state.rs
@@ -6,6 +6,7 @@
 use crate::node::{Core, Node};
 use rowanmill_cells::record::CapacitySummary;
 use rowanmill_cells::{LocalJobState, TrackedJob};
+use std::time::Instant;
 
 /// The job, if it has a record in the ledger.
 pub(super) fn tracked_job(id: &str, record: &JobRecord) -> Option<TrackedJob> {
@@ -42,7 +43,7 @@
     let is_excluded = || protection::exclusion_of(node, core, &job.record.spec, now_ms).is_some();
     LocalJobState::Open {
         has_started,
-        age_ms: now_ms.saturating_sub(job.record.eligible_since_ms()),
+        age_ms: job.record.waited_here_ms(now_ms),
         excluded_by_protection: job.record.foreign && !has_started && is_excluded(),
     }
 }
@@ -58,7 +59,7 @@
 }
 
 /// The cell's capacity, by its records.
-pub(super) fn capacity_summary(core: &Core, now_ms: u64) -> CapacitySummary {
+pub(super) fn capacity_summary(core: &Core, now: Instant, now_ms: u64) -> CapacitySummary {
     let machines = core.replica.fleet.machines.values();
     let cpus = machines.map(|machine| {
         core.kind(&machine.pool.machine_type)
@@ -77,6 +78,8 @@
         computed_ms: now_ms,
         waiting_tasks,
         free_cpus: (total_cpus - used_cpus).max(0.0),
-        can_rent: core.scaling.exhausted_pools.is_empty(),
+        can_rent: !core.scaling.has_exhausted_pool(now),
+        // Filled in when the summary is published.
+        ledger_revision: None,
     }
 }
--- a/src/cells/mod.rs
+++ b/src/cells/mod.rs
@@ -9,6 +9,7 @@
 pub mod protection;
 pub mod requests;
 mod scheduler;
+mod withdrawal;
 
 pub use attestation::{ATTESTATION_QUERY, answer_query};
 pub use heartbeats::{halted_jobs_on, permits_renewal, permits_starts};
--- a/src/cells/scheduler.rs
+++ b/src/cells/scheduler.rs
@@ -4,12 +4,13 @@
 use super::attestation;
 use super::local_state::{capacity_summary, local_job_state, tracked_jobs};
 use super::protection::{self, ProtectionExclusion};
+use super::withdrawal::progress_unchanged;
 use crate::api::admission::{Admission, check_eligibility, record_fits};
 use crate::jobs::{JobRecord, Relinquished, SpecError, StoredJob, Submission};
 use crate::membership;
 use crate::node::{Core, Node, wall_ms};
 use crate::state::replica::Job;
-use crate::state::{Operation, Precondition, RecordKey, TransactionError};
+use crate::state::{Operation, Precondition, RecordKey, TransactionError, max_preconditions};
 use rowanmill_cells::record::CapacitySummary;
 use rowanmill_cells::{
     AdoptionOutcome, CellCoordinator, LedgerJob, LocalJobState, OwnershipVersion, Scheduler,
@@ -17,6 +18,7 @@
 };
 use rowanmill_state::WritePriority;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// The scheduler of this cell.
 pub struct CellScheduler {
@@ -33,6 +35,12 @@
     revision: u64,
 }
 
+/// A new version of an open job's record, and what must hold for it beside the record being unchanged.
+struct RecordUpdate {
+    record: JobRecord,
+    preconditions: Vec<Precondition>,
+}
+
 /// Why a job cannot be put into the cell's records.
 enum Refusal {
     /// The cell cannot run it.
@@ -65,6 +73,7 @@
                 epoch: job.epoch,
                 revision,
             }),
+            adopted_ms: Some(wall_ms()),
             foreign: job.home != self.cells.cell_name(),
             withdrawn: false,
         })
@@ -192,6 +201,7 @@
                 Ok(())
             }
             Err(error) => {
+                tracing::debug!(%error, "cell record not written");
                 if !matches!(error, TransactionError::Refused(_)) {
                     // The records in memory may be outdated.
                     node.read_barrier().await;
@@ -206,24 +216,27 @@
     async fn update_record(
         &self,
         id: &str,
-        update: impl FnOnce(&Core, &Job) -> Option<JobRecord>,
+        update: impl FnOnce(&Core, &Job) -> Option<RecordUpdate>,
     ) -> Result<(), Unavailable> {
-        let (precondition, record) = {
+        let RecordUpdate {
+            record,
+            preconditions,
+        } = {
             let core = self.node.core();
             let Some(job) = core.replica.jobs.get(id) else {
                 return Ok(());
             };
-            let Some(record) = update(&core, job) else {
+            let Some(mut update) = update(&core, job) else {
                 return Ok(());
             };
-            let precondition = Precondition {
+            update.preconditions.push(Precondition {
                 key: RecordKey::Job(id).into(),
                 revision: job.revision,
-            };
-            (precondition, record)
+            });
+            update
         };
         let put = Operation::put(RecordKey::Job(id), &StoredJob::Open(record));
-        self.write(&[precondition], vec![put]).await
+        self.write(&preconditions, vec![put]).await
     }
 }
 
@@ -257,7 +270,7 @@
     }
 
     fn capacity_summary(&self) -> CapacitySummary {
-        capacity_summary(&self.node.core(), wall_ms())
+        capacity_summary(&self.node.core(), Instant::now(), wall_ms())
     }
 
     fn can_run(&self, job: &LedgerJob) -> bool {
@@ -313,7 +326,10 @@
     async fn cancel(&self, id: &str) -> Result<(), Unavailable> {
         self.update_record(id, |_, job| {
             let record = &job.record;
-            (!record.cancelled).then(|| record.clone().into_cancelled())
+            (!record.cancelled).then(|| RecordUpdate {
+                record: record.clone().into_cancelled(),
+                preconditions: Vec::new(),
+            })
         })
         .await
     }
@@ -324,6 +340,7 @@
         ownership: OwnershipVersion,
         condition: WithdrawalCondition,
     ) -> Result<(), Unavailable> {
+        let max_preconditions = max_preconditions(self.node.settings.max_transaction_operations());
         self.update_record(id, |core, job| {
             let state = local_job_state(&self.node, core, id, wall_ms());
             let has_started = matches!(
@@ -333,9 +350,20 @@
                     ..
                 }
             );
-            let is_kept = condition == WithdrawalCondition::NotStarted && has_started;
-            let is_unchanged = job.record.withdrawn || is_kept;
-            (!is_unchanged).then(|| job.record.clone().into_withdrawn(ownership))
+            let only_unstarted = condition == WithdrawalCondition::NotStarted;
+            if job.record.withdrawn || (only_unstarted && has_started) {
+                return None;
+            }
+            let preconditions = if only_unstarted {
+                let layout = &core.replica.layout;
+                progress_unchanged(layout, id, job, max_preconditions - 1)
+            } else {
+                Vec::new()
+            };
+            Some(RecordUpdate {
+                record: job.record.clone().into_withdrawn(ownership),
+                preconditions,
+            })
         })
         .await
     }
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -24,6 +24,10 @@
     /// Its version in the ledger of the cells; nothing for a job that only this cell knows.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ledger: Option<OwnershipVersion>,
+    /// Milliseconds since the epoch at which this cell took it from the ledger; nothing for a job that the
+    /// cell accepted itself, or that a version took which did not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adopted_ms: Option<u64>,
     /// Another cell accepted it.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub foreign: bool,
@@ -32,6 +36,10 @@
     pub withdrawn: bool,
 }
 
+/// A controller's clock may be ahead of another's of its cell by this at most, far more than the platform's
+/// settings allow.
+const MAX_CLOCK_DIFFERENCE_MS: u64 = 60_000;
+
 /// Attempts of one epoch: far more than a task is ever started in one cell.
 const ATTEMPTS_PER_EPOCH: u64 = 1 << 20;
 
@@ -42,6 +50,16 @@
         self.released_ms.unwrap_or(self.accepted_ms)
     }
 
+    /// How long this cell could have run it, in milliseconds: since it was adopted or, without that, since its
+    /// tasks could first start. Its deadline and urgency count from its acceptance all the same. A time of
+    /// adoption that no clock of the cell can have shown yet counts as missing.
+    pub fn waited_here_ms(&self, now_ms: u64) -> u64 {
+        let latest = now_ms.saturating_add(MAX_CLOCK_DIFFERENCE_MS);
+        let adopted_ms = self.adopted_ms.filter(|adopted| *adopted <= latest);
+        let since_ms = self.eligible_since_ms().max(adopted_ms.unwrap_or(0));
+        now_ms.saturating_sub(since_ms)
+    }
+
     /// Its deadline in seconds after [`eligible_since_ms`](Self::eligible_since_ms); the user's counts
     /// from the submission. Negative if it passed before the job was released.
     pub fn deadline_s(&self) -> Option<f64> {
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -15,6 +15,7 @@
 use crate::metrics::CpuAccount;
 use crate::node::{Core, Node};
 use crate::pipelines;
+use crate::state::max_preconditions;
 use batch::{BatchLimits, BatchSize, WriteBatch};
 use outcome::{BatchOutcome, apply_outcome};
 use page_write::PendingPageWrite;
@@ -103,7 +104,7 @@
     let selection = Selection {
         core,
         me: &node.identity,
-        max_preconditions: batch::max_preconditions(node.settings.max_transaction_operations()),
+        max_preconditions: max_preconditions(node.settings.max_transaction_operations()),
         has_ample_quota: node.state.write_headroom() >= AMPLE_HEADROOM,
         now,
     };
--- a/src/jobs/writer/batch.rs
+++ b/src/jobs/writer/batch.rs
@@ -1,17 +1,12 @@
 //! Decides which page writes share a transaction, and sends it.
 
 use super::page_write::PendingPageWrite;
-use crate::state::{MAX_TRANSACTION_BYTES, Operation, Precondition, StateClient, TransactionError};
+use crate::state::{
+    MAX_TRANSACTION_BYTES, Operation, Precondition, StateClient, TransactionError,
+    max_preconditions,
+};
 use std::collections::BTreeMap;
 
-/// Preconditions that a transaction may have for each operation that it may have.
-const PRECONDITIONS_PER_OPERATION: usize = 4;
-
-/// Most preconditions of a transaction that may have this many operations.
-pub(super) fn max_preconditions(max_operations: usize) -> usize {
-    max_operations * PRECONDITIONS_PER_OPERATION
-}
-
 /// How many atomic groups are put into one batch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum BatchSize {
--- a/src/renting/state.rs
+++ b/src/renting/state.rs
@@ -55,6 +55,11 @@
             published_forecast: None,
         }
     }
+
+    /// Whether the cloud recently had no capacity in some pool.
+    pub fn has_exhausted_pool(&self, now: Instant) -> bool {
+        self.exhausted_pools.values().any(|until| *until > now)
+    }
 }
 
 /// Machines of a type to be rented.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -14,3 +14,11 @@
 
 /// Most bytes of a transaction's operations: the service takes 64 KiB in all, preconditions included.
 pub const MAX_TRANSACTION_BYTES: usize = 44 << 10;
+
+/// Preconditions that a transaction may have for each operation that it may have.
+const PRECONDITIONS_PER_OPERATION: usize = 4;
+
+/// Most preconditions of a transaction that may have this many operations.
+pub fn max_preconditions(max_operations: usize) -> usize {
+    max_operations * PRECONDITIONS_PER_OPERATION
+}
--- a/src/testing/compatibility/job_records.rs
+++ b/src/testing/compatibility/job_records.rs
@@ -66,6 +66,7 @@
         placer: None,
         released_ms: None,
         ledger: None,
+        adopted_ms: None,
         foreign: false,
         withdrawn: false,
     }
@@ -114,6 +115,41 @@
     insta::assert_snapshot!("open_job_record", trace.0);
 }
 
+/// The time of adoption is a field of its own, which an earlier version leaves out and passes over.
+#[test]
+fn adopted_job_record_keeps_its_json() {
+    let adopted = JobRecord {
+        adopted_ms: Some(1_796_178_941_000),
+        ..accepted(plain_spec())
+    };
+    let json = serde_json::to_value(&adopted).unwrap();
+    assert_eq!(json["adopted_ms"], 1_796_178_941_000_u64);
+    let read: JobRecord = serde_json::from_value(json).unwrap();
+    assert_eq!(read, adopted);
+    let plain = serde_json::to_value(accepted(plain_spec())).unwrap();
+    assert!(plain.get("adopted_ms").is_none());
+}
+
+/// Waiting counts from the adoption. Without one, or with one that is too far ahead to be true, it counts from
+/// the acceptance.
+#[test]
+fn waiting_counts_from_when_the_cell_could_run_the_job() {
+    let accepted = accepted(plain_spec());
+    let now_ms = accepted.accepted_ms + 100_000;
+    let waited_ms = |adopted_ms| {
+        let record = JobRecord {
+            adopted_ms,
+            ..accepted.clone()
+        };
+        record.waited_here_ms(now_ms)
+    };
+    assert_eq!(waited_ms(None), 100_000);
+    assert_eq!(waited_ms(Some(now_ms - 5)), 5);
+    assert_eq!(waited_ms(Some(now_ms + 25)), 0, "another clock is ahead");
+    assert_eq!(waited_ms(Some(u64::MAX)), 100_000);
+    assert_eq!(waited_ms(Some(0)), 100_000);
+}
+
 #[test]
 fn cancelled_and_withdrawn_job_records_leave_out_what_may_be_long() {
     let full = accepted(full_spec());
--- a/tests/cells/main.rs
+++ b/tests/cells/main.rs
@@ -6,6 +6,7 @@
 mod kill;
 mod ledger;
 mod measure;
+mod moves;
 mod protection;
 mod site;
 mod spill;
--- a/tests/cells/protection.rs
+++ b/tests/cells/protection.rs
@@ -7,6 +7,15 @@
 
 const JOBS: usize = 6;
 
+// What went wrong here. A job that hue had just adopted counted its waiting from its acceptance at hanoi, and so
+// left at once: "job leaves the cell job=job-3 waited_ms=2714 spill_count=1" right after "job adopted". It went
+// back to hanoi by a capacity summary from before hanoi sent it: "summary_revision=2", "job_revision=16",
+// "waiting_tasks: 0, can_rent: true", although hanoi's cloud has nothing. Its third move went to danang, which
+// declined it, and at hanoi no move was left: it waited for good. Once the waiting counted from the adoption,
+// some runs counted 16 starts in place of 14: hue's leader withdrew jobs that the other controller of hue had just
+// started. With the progress page among the preconditions the withdrawal is refused then: "cell record not written
+// error=guards failed: [r/p/job-5/0]".
+
 /// One cell has no machines, and of the two others one protects all of its own: they run none of the first
 /// cell's tasks, but those of their own cell; each job is done once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
