Rent machines for a limited team as far as its unused quota could use them

Cause: the forecast mapped only the tasks with headroom at that moment. The one machine would start these 12 short tasks before a new one is up, so none was helped: late=3.0 counted=3.0 wanted=0.0 at one event after the other. Change: arrays are mapped beyond the headroom on two timelines of the quota, with the machines of now and by quota alone. What starts later on the first is helped; the machines wanted for it are bounded by the unused headroom.

--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -1,6 +1,10 @@
 //! Predicts misses: maps every waiting task to the machine where it would end first, however long it
 //! waits there (the paper's equation 1). Run once a period; nothing is started by it.
 
+mod beyond_headroom;
+
+pub use beyond_headroom::BeyondHeadroom;
+
 use super::gang::gang_slots;
 use super::index::{MachineIndex, StartTimesId, TaskTimes};
 use super::queue::Queues;
@@ -35,6 +39,8 @@
 pub struct Forecast {
     /// Per job of the snapshot, its counts.
     pub jobs: Vec<JobForecast>,
+    /// Per job of the snapshot, what machines keep waiting beyond its team's headroom of now.
+    pub beyond_headroom: Vec<BeyondHeadroom>,
     /// Names of the machines to which work was mapped that needs their type: work without GPUs does not
     /// count on a machine with GPUs.
     pub machines_needed: HashSet<Arc<str>>,
@@ -124,6 +130,16 @@
     forecast: Forecast,
     gangs_placed: usize,
     last_gang: Misses,
+    /// Tasks of limited teams in the order in which they took headroom.
+    limited_tasks: Vec<LimitedTask>,
+}
+
+/// A task that took a limited team's headroom.
+#[derive(Debug, Clone, Copy)]
+struct LimitedTask {
+    job: usize,
+    /// `None` if no machine can take it.
+    placement: Option<TaskPlacement>,
 }
 
 /// Maps all waiting tasks. The first `startup_count` tasks of each job are startup tasks.
@@ -141,10 +157,12 @@
         machines: MachineIndex::new(&mut machines),
         forecast: Forecast {
             jobs: vec![JobForecast::default(); jobs.len()],
+            beyond_headroom: vec![BeyondHeadroom::default(); jobs.len()],
             ..Forecast::default()
         },
         gangs_placed: 0,
         last_gang: Misses::NONE,
+        limited_tasks: Vec::new(),
     };
     let mut queues = Queues::new(jobs);
     loop {
@@ -164,6 +182,7 @@
             forecaster.place_array(head);
         }
     }
+    forecaster.map_beyond_headroom(headroom);
     forecaster.forecast
 }
 
@@ -248,6 +267,12 @@
         progress.next_task += 1;
         progress.started += 1;
         self.headroom.take(view, 1);
+        if view.team.is_some() {
+            self.limited_tasks.push(LimitedTask {
+                job,
+                placement: Some(*placement),
+            });
+        }
         let (index, start) = (placement.machine, placement.start);
         self.machines
             .occupy(index, &view.resources, start, placement.end);
@@ -275,6 +300,7 @@
         let mut is_last_late = true;
         while self.remaining(job) > 0 && placed < MAX_TASKS_PER_JOB {
             let Some(Reverse(PlacementRank { machine, .. })) = heap.pop() else {
+                self.note_unplaceable(job);
                 break;
             };
             if !self.may_add_in_zone(job, machine) {
@@ -362,7 +388,20 @@
         self.headroom.take(&self.jobs[job], rest);
         let misses = Misses { late, helped: late };
         self.forecast.jobs[job].add(rest, misses);
-        self.progress[job].next_task = self.jobs[job].waiting.len();
+        self.progress[job].next_task += rest;
+    }
+
+    /// Notes that no machine can take the rest of an array for which there is headroom.
+    fn note_unplaceable(&mut self, job: usize) {
+        if self.jobs[job].team.is_some() {
+            let unplaced = LimitedTask {
+                job,
+                placement: None,
+            };
+            let rest = self.remaining(job);
+            self.limited_tasks
+                .extend(std::iter::repeat_n(unplaced, rest));
+        }
     }
 
     /// The paper's guard: a startup task goes ahead only if the batch head would still be in time.
--- a/src/placement/machine_snapshot.rs
+++ b/src/placement/machine_snapshot.rs
@@ -34,11 +34,20 @@
     up_at_s: f64,
     free: Resources,
     /// When each of its tasks should end, in seconds since the start of the process.
-    tasks: Vec<FreeSlot>,
+    tasks: Vec<RunningTask>,
     /// The last heartbeat; none as long as the machine has not acknowledged this controller.
     last_heartbeat: Option<Instant>,
 }
 
+/// A task on a machine.
+#[derive(Debug)]
+struct RunningTask {
+    /// The interned name of its team.
+    team: u32,
+    /// What it releases, and when.
+    release: FreeSlot,
+}
+
 /// What cached machines are made from.
 pub(super) struct MachineSnapshotBuilder<'a> {
     pub core: &'a Core,
@@ -75,14 +84,17 @@
                 None => boot_remainder_s(machine_type, age_s(record.requested_ms, self.now_ms)),
             };
         let mut free = capacity_of(machine_type);
-        let mut tasks: Vec<FreeSlot> = Vec::new();
+        let mut tasks: Vec<RunningTask> = Vec::new();
         for id in tasks_on(core, name) {
             // A task of unknown size: no capacity is certain until it is gone.
             let spec = spec_of(core, &id.job)?;
             free.sub(&spec.resources());
-            tasks.push(FreeSlot {
-                at: up_at_s + self.remaining_s(spec, &id, worker, machine_type),
-                available: spec.resources(),
+            tasks.push(RunningTask {
+                team: names.intern(&spec.team),
+                release: FreeSlot {
+                    at: up_at_s + self.remaining_s(spec, &id, worker, machine_type),
+                    available: spec.resources(),
+                },
             });
         }
         Some(CachedMachine {
@@ -166,24 +178,36 @@
         if is_spare {
             snapshot.cpus_per_gpu = 0.0;
         }
-        let earliest_s = match self.last_heartbeat {
-            Some(_) => 0.0,
-            None => IMMINENT_S,
-        };
-        let up_in_s = (self.up_at_s - now_s).max(earliest_s);
         snapshot.free_slots.push(FreeSlot {
-            at: up_in_s,
+            at: self.up_in_s(now_s),
             available: self.free,
         });
-        for task in &self.tasks {
-            snapshot.free_slots.push(FreeSlot {
-                at: (task.at - now_s).max(up_in_s + IMMINENT_S),
-                available: task.available,
-            });
-        }
+        let tasks = self.releases_at(now_s).map(|(_, release)| release);
+        snapshot.free_slots.extend(tasks);
         snapshot.free_slots.sort_by(|a, b| a.at.total_cmp(&b.at));
         snapshot
     }
+
+    /// What each task releases, with its team, in seconds from `now_s`.
+    pub fn releases_at(&self, now_s: f64) -> impl Iterator<Item = (u32, FreeSlot)> {
+        let earliest_s = self.up_in_s(now_s) + IMMINENT_S;
+        self.tasks.iter().map(move |task| {
+            let release = FreeSlot {
+                at: (task.release.at - now_s).max(earliest_s),
+                available: task.release.available,
+            };
+            (task.team, release)
+        })
+    }
+
+    /// Seconds from `now_s` until its free capacity can be used.
+    fn up_in_s(&self, now_s: f64) -> f64 {
+        let earliest_s = match self.last_heartbeat {
+            Some(_) => 0.0,
+            None => IMMINENT_S,
+        };
+        (self.up_at_s - now_s).max(earliest_s)
+    }
 }
 
 /// A machine's snapshot without free slots.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -24,6 +24,7 @@
 pub mod preemption;
 mod queue;
 pub mod quota_headroom;
+mod quota_timeline;
 mod resources;
 pub mod service;
 pub mod snapshot;
--- a/src/placement/quota_headroom.rs
+++ b/src/placement/quota_headroom.rs
@@ -2,7 +2,8 @@
 //! was mapped under the whole of it, several jobs of a team counted the same quota several times, and
 //! machines were rented for tasks that their quota kept waiting.
 
-use super::{JobSnapshot, Resources, SLACK};
+use super::quota_timeline::QuotaTimeline;
+use super::{FreeSlot, JobSnapshot, Resources, SLACK};
 
 /// The headroom of all limited teams during one packing or forecast.
 #[derive(Debug, Clone, Default)]
@@ -18,6 +19,8 @@
     /// Nothing more of the team starts for now.
     is_closed: bool,
     reservation: Option<QuotaReservation>,
+    /// What running tasks will release; only forecasts need it.
+    releases: Vec<FreeSlot>,
 }
 
 /// A part of what remains that only one job may use.
@@ -41,10 +44,26 @@
             limit,
             is_closed: false,
             reservation: None,
+            releases: Vec::new(),
         });
         self.teams.len() - 1
     }
 
+    /// Adds what a running task of a team will release.
+    pub fn add_release(&mut self, team: usize, release: FreeSlot) {
+        self.teams[team].releases.push(release);
+    }
+
+    /// The team's quota over time, without what is reserved for one of its jobs.
+    pub(super) fn timeline(&self, team: usize) -> QuotaTimeline {
+        let team = &self.teams[team];
+        let mut available = team.remaining;
+        if let Some(reservation) = &team.reservation {
+            available.sub(&reservation.amount);
+        }
+        QuotaTimeline::new(available, &team.releases)
+    }
+
     /// How many more tasks of a job its team's quota permits.
     pub fn tasks(&self, job: &JobSnapshot) -> usize {
         let Some(team) = job.team else {
--- a/src/placement/snapshot_cache.rs
+++ b/src/placement/snapshot_cache.rs
@@ -4,6 +4,7 @@
 use super::inherited_deadlines::InheritedDeadlines;
 use super::job_progress::JobProgress;
 use super::machine_snapshot::{CachedMachine, MachineSnapshotBuilder};
+use super::quota_headroom::QuotaHeadroom;
 use super::{JobSnapshot, MachineSnapshot, NameTable, SLACK};
 use crate::cloud::MachineType;
 use crate::membership::assignment::Member;
@@ -111,6 +112,29 @@
             .collect()
     }
 
+    /// Adds to the headroom what running tasks of limited teams release. `teams` are these teams' indices in
+    /// the headroom, by name.
+    pub fn add_quota_releases(
+        &mut self,
+        now: Instant,
+        teams: &BTreeMap<&str, usize>,
+        headroom: &mut QuotaHeadroom,
+    ) {
+        if teams.is_empty() {
+            return;
+        }
+        let now_s = self.seconds_since_start(now);
+        let indices: HashMap<u32, usize> = teams
+            .iter()
+            .map(|(team, index)| (self.names.intern(team), *index))
+            .collect();
+        for (team, release) in self.machines.values().flat_map(|m| m.releases_at(now_s)) {
+            if let Some(index) = indices.get(&team) {
+                headroom.add_release(*index, release);
+            }
+        }
+    }
+
     fn seconds_since_start(&self, now: Instant) -> f64 {
         now.saturating_duration_since(self.started_at).as_secs_f64()
     }
--- a/src/renting/forecast.rs
+++ b/src/renting/forecast.rs
@@ -10,7 +10,8 @@
 use crate::fleet::MachineState;
 use crate::limits::MAX_PUBLISHED_BYTES;
 use crate::node::{Core, Node, age_s};
-use crate::placement::forecast::{Forecast, JobForecast, forecast};
+use crate::placement::forecast::{BeyondHeadroom, Forecast, JobForecast, forecast};
+use crate::placement::quota_headroom::QuotaHeadroom;
 use crate::placement::snapshot::{ClusterSnapshot, eligible_machine_types};
 use crate::placement::{FallbackPool, JobSnapshot, batch_order, capacity_of};
 use std::collections::BTreeMap;
@@ -36,12 +37,8 @@
     if !is_due && !forecast_is_stale(core, snapshot, startup_count, now) {
         return;
     }
-    let placement = forecast(
-        &snapshot.jobs,
-        &snapshot.machines,
-        &snapshot.headroom,
-        startup_count,
-    );
+    let headroom = headroom_with_releases(core, snapshot, now);
+    let placement = forecast(&snapshot.jobs, &snapshot.machines, &headroom, startup_count);
     core.metrics.machines_examined += placement.machines_examined;
     let record = summarize(node, core, snapshot, &placement, now_ms);
     if is_due {
@@ -50,6 +47,24 @@
     core.scaling.pending_forecast = Some(record);
 }
 
+/// The headroom of limited teams with what their running tasks release.
+fn headroom_with_releases(
+    core: &mut Core,
+    snapshot: &ClusterSnapshot,
+    now: Instant,
+) -> QuotaHeadroom {
+    let mut headroom = snapshot.headroom.clone();
+    let replica = &core.replica;
+    let limited = snapshot.jobs.iter().filter_map(|job| {
+        let team = &replica.jobs.get(&job.id)?.record.spec.team;
+        Some((team.as_str(), job.team?))
+    });
+    let teams: BTreeMap<&str, usize> = limited.collect();
+    core.snapshots
+        .add_quota_releases(now, &teams, &mut headroom);
+    headroom
+}
+
 /// Whether the forecast published last lacks what the leader should know before the period is over.
 fn forecast_is_stale(
     core: &Core,
@@ -159,8 +174,10 @@
             machine_type,
             permitted: permitted[index],
             forecast: placement.jobs[index],
+            beyond_headroom: placement.beyond_headroom[index],
             substitute: progress.and_then(|job| job.fallback_pool.as_ref()),
         };
+        work.log_if_limited();
         work.add_to(demand.entry(name.clone()).or_default());
     }
     demand
@@ -203,11 +220,35 @@
     /// Tasks that the team's limit lets start.
     permitted: u32,
     forecast: JobForecast,
+    /// What machines keep waiting beyond what the limit lets start now.
+    beyond_headroom: BeyondHeadroom,
     /// The next machine type that the tasks may run on, and the part of such a machine that each fills.
     substitute: Option<&'a FallbackPool>,
 }
 
 impl WaitingWork<'_> {
+    /// Logs, of a limited team's job, what the forecast counts and what bounds the machines rented for it.
+    fn log_if_limited(&self) {
+        if self.job.team.is_none() {
+            return;
+        }
+        let share = self
+            .job
+            .resources
+            .dominant_share(&capacity_of(self.machine_type));
+        tracing::debug!(
+            job = self.job.id,
+            waiting = self.job.waiting.len(),
+            permitted = self.permitted,
+            late = self.forecast.late,
+            helped = self.forecast.helped,
+            helped_beyond_headroom = self.beyond_headroom.helped,
+            unused_quota_tasks = self.beyond_headroom.unused_quota_tasks,
+            wanted = self.machines_filled(share),
+            "limited team's job forecast"
+        );
+    }
+
     fn add_to(&self, demand: &mut DemandForecast) {
         let job = self.job;
         let share = job
@@ -219,8 +260,9 @@
         if job.due < 0.0 {
             demand.late_now += permitted;
         }
-        demand.counted_next += f64::from(self.forecast.tasks) * share;
-        demand.late_next += f64::from(self.forecast.late) * share;
+        let beyond_headroom = self.beyond_headroom.helped;
+        demand.counted_next += f64::from(self.forecast.tasks + beyond_headroom) * share;
+        demand.late_next += f64::from(self.forecast.late + beyond_headroom) * share;
         let machines = self.machines_filled(share);
         demand.wanted_machines += machines;
         if !job.spot {
@@ -234,10 +276,18 @@
         }
     }
 
-    /// Machines that the late tasks would fill which new machines help, each task filling `share` of one.
+    /// Machines that the late tasks would fill which new machines help, each task filling `share` of one. For
+    /// those beyond the team's headroom no more are counted than its unused quota could fill at once.
     fn machines_filled(&self, share: f64) -> f64 {
         let rounds = rounds_in_time(self.job.due, self.job.duration, self.machine_type.boot_s);
-        share * f64::from(self.forecast.helped) / rounds
+        let BeyondHeadroom {
+            helped,
+            unused_quota_tasks,
+        } = self.beyond_headroom;
+        let slots = f64::from(self.forecast.helped) / rounds;
+        let all_slots = f64::from(self.forecast.helped + helped) / rounds;
+        let unused_quota = f64::from(self.permitted.min(unused_quota_tasks));
+        share * slots.max(all_slots.min(unused_quota))
     }
 }
 
--- a/tests/limits/races.rs
+++ b/tests/limits/races.rs
@@ -48,6 +48,13 @@
     assert_eq!(site.broken_rules(), Vec::<String>::new());
 }
 
+// What went wrong here. One controller had come to have the whole limit and one machine of 4 CPUs, and 600 tasks
+// waited. The log said "scaling decided late=3.0 counted=3.0 wanted=0.0 decision=ScaleOut(100)" at one event after
+// the other: of 12 tasks that the headroom showed all were late, and none was to be helped by a machine, since the
+// one machine would start all 12, of half a second each, before a new one is up. What stood behind these 12 was
+// not looked at. With the mend, "limited team's job forecast" shows it as helped_beyond_headroom, and as
+// unused_quota_tasks how many more could run at once; machines are rented for no more than these.
+
 /// For a team that lacks machines, not quota, more are rented. The fault: a forecast counts no more of its tasks
 /// than the allocation has headroom for now, finds all of these in time, and rents nothing for the hundreds
 /// behind them.
