Release a controller's last slot of a limit where it has no machine to run it on

Cause: a controller without a machine kept what its oldest task needs. The failing run rented two machines for three controllers, and the one without showed permitted=1 helped=1 and transferred nothing before its work had ended. Change: without a machine, booting ones included, all idle headroom is released to controllers that have some and wait for the limit; they return it once it has a machine, or after three times reserve_after_s. What is released is at least what the recipient's oldest unit needs.

--- a/crates/rowanmill-limits/src/demand.rs
+++ b/crates/rowanmill-limits/src/demand.rs
@@ -39,6 +39,9 @@
     /// The gang that only the limit keeps from starting there, or, without one, a task of the oldest waiting
     /// array.
     pub oldest: Option<WaitingUnit>,
+    /// It has no machine, and what waits there has not waited for so long yet that headroom is kept for it all
+    /// the same.
+    pub lacks_machines: bool,
 }
 
 impl MemberDemand {
@@ -72,6 +75,13 @@
     }
 }
 
+/// Whether a controller leaves the limit to others for now: it has no machine, and others that have some wait for
+/// the limit. Where nobody could use the headroom, it is kept where the next machine may be rented for it.
+pub(crate) fn yields_headroom(demand: &MemberDemand, members: &[MemberDemand]) -> bool {
+    let could_use_it = |other: &MemberDemand| !other.lacks_machines && !other.waiting.is_zero();
+    demand.lacks_machines && members.iter().any(could_use_it)
+}
+
 /// Whether `limit` is enough for all that runs and waits.
 pub(crate) fn total_demand_fits(limit: ResourceAmount, members: &[MemberDemand]) -> bool {
     let total: ResourceAmount = members.iter().map(MemberDemand::total).sum();
--- a/crates/rowanmill-limits/src/transfer.rs
+++ b/crates/rowanmill-limits/src/transfer.rs
@@ -3,7 +3,7 @@
 
 use crate::amount::ResourceAmount;
 use crate::config::LimitsConfig;
-use crate::demand::{MemberDemand, WaitingUnit, total_demand_fits};
+use crate::demand::{MemberDemand, WaitingUnit, total_demand_fits, yields_headroom};
 use crate::record::AllocationRecord;
 use crate::targets::allocation_targets;
 use crate::view::TeamView;
@@ -57,6 +57,8 @@
     oldest_need: ResourceAmount,
     /// What all its waiting tasks would use.
     waiting: ResourceAmount,
+    /// It has no machine, and leaves idle headroom to others that have some.
+    yields: bool,
     /// In the order of their oldest waiting units.
     recipients: Vec<Recipient<'a>>,
     remainder_recipient: Option<RemainderRecipient<'a>>,
@@ -85,6 +87,7 @@
             accumulates_for_gang: oldest.is_some_and(|unit| unit.is_gang),
             oldest_need: oldest.map_or(ResourceAmount::ZERO, |unit| unit.need),
             waiting: own.map_or(ResourceAmount::ZERO, |demand| demand.waiting),
+            yields: own.is_some_and(|demand| yields_headroom(demand, members)),
             recipients: recipients(record, step, members, targets, member),
             remainder_recipient: remainder_recipient(record, members),
         }
@@ -106,11 +109,16 @@
         !self.accumulates_for_gang && !is_constrained(spare, self.step, self.waiting)
     }
 
-    /// Lowers the target to what is in use and one step, or what the oldest waiting unit needs. Controllers
-    /// that use what they have and wait for more may have an equal share of the rest, whatever their targets
-    /// are.
+    /// Lowers the target to what is in use and one step, or what the oldest waiting unit needs; without a machine
+    /// for that unit, to what is in use. Controllers that use what they have and wait for more may have an equal
+    /// share of the rest, or what their oldest unit needs, whatever their targets are.
     pub fn release_idle_headroom(&mut self, charged: ResourceAmount) {
-        let retained = charged.saturating_add(self.step.componentwise_max(self.oldest_need));
+        let kept_for_next = if self.yields {
+            ResourceAmount::ZERO
+        } else {
+            self.step.componentwise_max(self.oldest_need)
+        };
+        let retained = charged.saturating_add(kept_for_next);
         self.target = self.target.componentwise_min(retained);
         let released = self.own_allocation().saturating_sub(retained);
         let constrained: Vec<&MemberDemand> = self
@@ -122,14 +130,21 @@
         let share = released.zip_with(released, |units, _| units / count);
         for demand in constrained {
             let free = free_at(self.record, demand);
-            let shortfall = demand.waiting.saturating_sub(free).componentwise_min(share);
+            let oldest_need = demand.oldest.as_ref().map(|unit| unit.need);
+            let missing_for_oldest = oldest_need.unwrap_or_default().saturating_sub(free);
+            let shortfall = demand
+                .waiting
+                .saturating_sub(free)
+                .componentwise_min(share.componentwise_max(missing_for_oldest));
             self.raise_shortfall(demand, shortfall);
         }
     }
 
     fn waits_for_allocation(&self, demand: &MemberDemand) -> bool {
         let free = free_at(self.record, demand);
-        is_constrained(free, self.step, demand.waiting) && !demand.waiting.fits_within(free)
+        !yields_headroom(demand, self.members)
+            && is_constrained(free, self.step, demand.waiting)
+            && !demand.waiting.fits_within(free)
     }
 
     fn raise_shortfall(&mut self, demand: &'a MemberDemand, shortfall: ResourceAmount) {
@@ -218,10 +233,12 @@
     member: &str,
 ) -> Vec<Recipient<'a>> {
     let demand_fits = total_demand_fits(record.limit, members);
+    // One without a machine gets more only if nobody loses by it.
+    let may_receive = |demand: &MemberDemand| demand_fits || !yields_headroom(demand, members);
     let mut recipients: Vec<Recipient> = members
         .iter()
         .zip(targets)
-        .filter(|(demand, _)| demand.member != member)
+        .filter(|(demand, _)| demand.member != member && may_receive(demand))
         .filter_map(|(demand, target)| recipient(record, step, demand_fits, demand, target))
         .collect();
     recipients.sort_by(|a, b| a.demand.oldest.cmp(&b.demand.oldest));
@@ -268,6 +285,7 @@
         .iter()
         .filter_map(|demand| Some((demand.oldest.as_ref()?, demand)))
         .filter(|(unit, demand)| !unit.need.fits_within(free_at(record, demand)))
+        .filter(|(_, demand)| !yields_headroom(demand, members))
         .collect();
     blocked.sort_by_key(|(unit, _)| *unit);
     let remainders: ResourceAmount = blocked
--- /dev/null
+++ b/crates/rowanmill-limits/tests/idle_headroom.rs
@@ -0,0 +1,153 @@
+//! Headroom that a controller cannot use goes to one that can, within the time that the settings give, and does
+//! not go back and forth.
+
+use rowanmill_limits::{
+    AllocationRecord, LimitsConfig, MemberDemand, QuotaHolder, RecordChange, ResourceAmount,
+    TeamLimit, TeamView, Versioned, WaitingUnit,
+};
+use std::time::{Duration, Instant};
+
+/// What a task uses: a third of the limit.
+const TASK: ResourceAmount = ResourceAmount {
+    micro_cpus: 1_000_000,
+    micro_gpus: 0,
+};
+const LIMIT: ResourceAmount = ResourceAmount {
+    micro_cpus: 3_000_000,
+    micro_gpus: 0,
+};
+const NAMES: [&str; 3] = ["a", "b", "c"];
+/// When the defaults let a controller release headroom: `idle_after_s` after it was first seen to be idle.
+const RELEASED_AFTER: Duration = Duration::from_secs(2);
+
+/// A controller with twenty tasks that wait since then.
+fn demand(member: &str, running: bool, lacks_machines: bool, since_ms: u64) -> MemberDemand {
+    MemberDemand {
+        used: if running { TASK } else { ResourceAmount::ZERO },
+        waiting: ResourceAmount {
+            micro_cpus: 20 * TASK.micro_cpus,
+            micro_gpus: 0,
+        },
+        oldest: Some(WaitingUnit {
+            since_ms,
+            job: format!("job-{member}"),
+            need: TASK,
+            is_gang: false,
+        }),
+        lacks_machines,
+        ..MemberDemand::idle(member)
+    }
+}
+
+/// Two controllers that each run a task on a machine, and a third one, whose work is the oldest.
+fn two_run_and_one_lacks_machines(lacks_machines: bool) -> [MemberDemand; 3] {
+    [
+        demand("a", true, false, 5),
+        demand("b", true, false, 6),
+        demand("c", false, lacks_machines, 1),
+    ]
+}
+
+fn record(tasks: [u64; 3]) -> AllocationRecord {
+    let mut record = AllocationRecord::frozen(5, LIMIT);
+    for (name, tasks) in NAMES.iter().zip(tasks) {
+        let allocation = ResourceAmount {
+            micro_cpus: tasks * TASK.micro_cpus,
+            micro_gpus: 0,
+        };
+        record.allocations.insert((*name).to_owned(), allocation);
+    }
+    record
+}
+
+/// One controller of the three, with the record as it stands.
+struct Controller<'a> {
+    holder: QuotaHolder,
+    members: &'a [MemberDemand],
+    index: usize,
+}
+
+impl<'a> Controller<'a> {
+    fn new(members: &'a [MemberDemand], index: usize) -> Self {
+        Self {
+            holder: QuotaHolder::new(LimitsConfig::default(), NAMES[index]),
+            members,
+            index,
+        }
+    }
+
+    fn next_change(&mut self, record: &AllocationRecord, now: Instant) -> Option<RecordChange> {
+        let view = TeamView {
+            limit: TeamLimit {
+                micro_cpus: Some(LIMIT.micro_cpus),
+                micro_gpus: None,
+            },
+            record: Some(Versioned {
+                record,
+                revision: 7,
+            }),
+            assignment_revision: 5,
+            applied_revision: 9,
+            members: self.members,
+        };
+        let charged = self.members[self.index].used;
+        self.holder.next_change("t", &view, charged, now)
+    }
+}
+
+/// What the third controller makes of its idle slot, right before it may release it and when it may.
+fn release(members: &[MemberDemand]) -> (Option<RecordChange>, Option<RecordChange>) {
+    let start = Instant::now();
+    let record = record([1, 1, 1]);
+    let mut idle = Controller::new(members, 2);
+    assert_eq!(idle.next_change(&record, start), None);
+    let before = start + RELEASED_AFTER - Duration::from_millis(1);
+    let too_early = idle.next_change(&record, before);
+    (too_early, idle.next_change(&record, start + RELEASED_AFTER))
+}
+
+/// The order of events of a run in which two of three slots were used: the third one's controller has no machine.
+#[test]
+fn a_controller_without_a_machine_releases_its_last_slot_to_one_that_can_use_it() {
+    let members = two_run_and_one_lacks_machines(true);
+    let (too_early, change) = release(&members);
+    assert_eq!(too_early, None);
+    let change = change.expect("the slot is released");
+    assert_eq!(change.transferred, TASK);
+    assert_eq!(change.record, record([2, 1, 0]), "whole, to the older work");
+}
+
+/// With a machine, booting or idle, it keeps what its next task needs.
+#[test]
+fn a_controller_with_a_machine_keeps_a_slot_for_its_next_task() {
+    let members = two_run_and_one_lacks_machines(false);
+    assert_eq!(release(&members), (None, None));
+}
+
+/// Where nobody has a machine, each keeps its part: the first machine may be rented for any of them.
+#[test]
+fn headroom_stays_where_it_is_while_nobody_has_a_machine() {
+    let members = NAMES.map(|name| demand(name, false, true, 1));
+    assert_eq!(release(&members), (None, None));
+}
+
+/// The slot does not come back before its controller has a machine, however old the work there is, and comes back
+/// then.
+#[test]
+fn a_released_slot_comes_back_with_a_machine_and_not_before() {
+    let now = Instant::now();
+    let released = record([2, 1, 0]);
+    for lacks_machines in [true, false] {
+        let members = two_run_and_one_lacks_machines(lacks_machines);
+        let changes = (0..NAMES.len()).filter_map(|index| {
+            let mut controller = Controller::new(&members, index);
+            controller.next_change(&released, now)
+        });
+        let changes: Vec<_> = changes.map(|change| change.record).collect();
+        if lacks_machines {
+            assert_eq!(changes, []);
+        } else {
+            assert_eq!(changes, [record([1, 1, 1])]);
+        }
+    }
+}
--- a/crates/rowanmill-limits/tests/properties.rs
+++ b/crates/rowanmill-limits/tests/properties.rs
@@ -16,23 +16,27 @@
 fn demand(index: usize) -> impl Strategy<Value = MemberDemand> {
     let unit = (0..50u64, amount(3_000), any::<bool>());
     (
+        any::<bool>(),
         amount(3_000),
         amount(9_000),
         amount(9_000),
         proptest::option::of(unit),
     )
-        .prop_map(move |(used, waiting, on_time, unit)| MemberDemand {
-            member: format!("m{index}"),
-            used,
-            waiting,
-            waiting_on_time: on_time.componentwise_min(waiting),
-            oldest: unit.map(|(since_ms, need, is_gang)| WaitingUnit {
-                since_ms,
-                job: format!("job-{index}"),
-                need,
-                is_gang,
-            }),
-        })
+        .prop_map(
+            move |(lacks_machines, used, waiting, on_time, unit)| MemberDemand {
+                member: format!("m{index}"),
+                used,
+                waiting,
+                waiting_on_time: on_time.componentwise_min(waiting),
+                oldest: unit.map(|(since_ms, need, is_gang)| WaitingUnit {
+                    since_ms,
+                    job: format!("job-{index}"),
+                    need,
+                    is_gang,
+                }),
+                lacks_machines,
+            },
+        )
 }
 
 fn members() -> impl Strategy<Value = Vec<MemberDemand>> {
--- a/src/limits/usage.rs
+++ b/src/limits/usage.rs
@@ -1,12 +1,18 @@
 //! What the jobs of divided teams use and wait for, counted from the replica and from what this controller
 //! plans.
 
+use crate::fleet::MachineState;
 use crate::jobs::{JobSpec, TaskRecord};
+use crate::membership::assignment::Member;
 use crate::node::{Core, age_s, wall_ms};
 use crate::state::replica::Job;
 use rowanmill_limits::{MemberDemand, ResourceAmount, TeamLimit, WaitingUnit};
 use std::collections::BTreeMap;
 
+/// Work at a controller without a machine leaves the limit to others for so many times `reserve_after_s`, after
+/// which a gang without machines asks for the limit, too.
+const PATIENCE_WITHOUT_MACHINE: f64 = 3.0;
+
 /// What a team's unfinished jobs use and wait for.
 #[derive(Debug, Default)]
 pub(super) struct TeamUsage {
@@ -45,6 +51,10 @@
         let limit = &core.limits.limits[&job.record.spec.team];
         usage.add_job(core, &CountedJob { limit, id, job }, now_ms);
     }
+    let patience_s = core.limits.config.reserve_after_s * PATIENCE_WITHOUT_MACHINE;
+    for usage in teams.values_mut() {
+        usage.end_patience(patience_s, now_ms);
+    }
     for (member, outlook) in &core.replica.forecast_summaries {
         for (team, unit) in &outlook.record.blocked_gangs {
             if let Some(usage) = teams.get_mut(team) {
@@ -60,20 +70,30 @@
     let Some(assignment) = &core.replica.assignment else {
         return BTreeMap::new();
     };
-    let idle_members = || {
-        let members = assignment.record.members.iter();
-        members.map(|member| MemberDemand::idle(&member.name))
-    };
-    core.limits
-        .divided_teams(core)
-        .map(|team| {
-            let usage = TeamUsage {
-                members: idle_members().collect(),
-                ..TeamUsage::default()
-            };
-            (team.name.to_owned(), usage)
-        })
-        .collect()
+    let divided: Vec<_> = core.limits.divided_teams(core).collect();
+    if divided.is_empty() {
+        return BTreeMap::new();
+    }
+    let members = assignment.record.members.iter();
+    let idle = members.map(|member| MemberDemand {
+        lacks_machines: !has_machine(core, member),
+        ..MemberDemand::idle(&member.name)
+    });
+    let idle: Vec<MemberDemand> = idle.collect();
+    let teams = divided.into_iter().map(|team| {
+        let usage = TeamUsage {
+            members: idle.clone(),
+            ..TeamUsage::default()
+        };
+        (team.name.to_owned(), usage)
+    });
+    teams.collect()
+}
+
+/// Whether a controller owns a machine on which tasks may be placed, or one that boots.
+fn has_machine(core: &Core, member: &Member) -> bool {
+    let mut machines = core.replica.fleet.machines.values();
+    machines.any(|machine| machine.owner == *member && machine.state == MachineState::Active)
 }
 
 /// A job of a team with a limit.
@@ -100,6 +120,16 @@
 }
 
 impl TeamUsage {
+    /// From when on a controller's oldest work has waited for `patience_s`, headroom is kept for it whether it has
+    /// a machine or not: the forecast then shows that one is missing.
+    fn end_patience(&mut self, patience_s: f64, now_ms: u64) {
+        for demand in &mut self.members {
+            let oldest = demand.oldest.as_ref();
+            let has_waited = oldest.is_some_and(|unit| age_s(unit.since_ms, now_ms) >= patience_s);
+            demand.lacks_machines &= !has_waited;
+        }
+    }
+
     fn add_job(&mut self, core: &Core, counted: &CountedJob, now_ms: u64) {
         let Some(assignment) = &core.replica.assignment else {
             return;
--- a/tests/limits/races.rs
+++ b/tests/limits/races.rs
@@ -5,6 +5,12 @@
 use serde_json::json;
 use std::time::{Duration, Instant};
 
+// What went wrong here, in about one of forty runs. "rental confirmed" came twice and no more: two machines for three
+// controllers, which "machines reassigned" moved among them. "limited team's job forecast permitted=1 late=1 helped=1"
+// at the third controller shows its slot of the limit beside no machine; it never transferred it, since each controller
+// kept what its oldest task needs ("quota allocation changed" came only when its work had ended). A controller without
+// a machine now releases that slot, too, to one that waits for the limit and has a machine.
+
 /// Jobs of one task each are submitted to all controllers at once, and the limit has three slots: a fourth is
 /// never used, and none stays free.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
