--- a/crates/rowanmill-cells/src/plan.rs
+++ b/crates/rowanmill-cells/src/plan.rs
@@ -8,9 +8,12 @@
 mod action;
 mod dependencies;
 mod handover;
+mod outside_records;
+mod round;
 mod takeover;
 
 pub use action::{Action, HandoverReason, LocalJobs};
+pub use outside_records::count_jobs_outside_records;
 
 use crate::config::CellsConfig;
 use crate::ranking::Ranking;
@@ -19,6 +22,7 @@
 use crate::scheduler::{LocalJobState, TrackedJob, WithdrawalCondition};
 use dependencies::DependencyState;
 use handover::AvailableRoom;
+use round::{OwnedJob, Round, RoundCounts};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -28,27 +32,6 @@
 /// Time that the controller that accepted a job has to put it into the cell's records. After it the leader
 /// does so.
 const ACCEPTANCE_WRITE_GRACE: Duration = Duration::from_secs(1);
-/// Most jobs that are put into the cell's records in one round.
-const MAX_ADOPTIONS_PER_ROUND: usize = 64;
-/// Most final states that are read from the ledger in one round.
-const MAX_FINAL_STATE_READS_PER_ROUND: usize = 8;
-
-/// The state that one round decides by.
-#[derive(Debug, Clone, Copy)]
-struct Round<'a> {
-    replica: &'a LedgerReplica,
-    now: Instant,
-}
-
-/// A job that the ledger says this cell owns.
-#[derive(Debug, Clone, Copy)]
-struct OwnedJob<'a> {
-    id: &'a str,
-    job: &'a Versioned<LedgerJob>,
-    /// Its state in the cell's own records.
-    state: LocalJobState,
-}
-
 /// An owned job that was found ineligible for the cell.
 #[derive(Debug, Clone, Copy)]
 struct Ineligibility {
@@ -56,39 +39,6 @@
     since: Instant,
 }
 
-/// Actions of one round so far that are bounded in number.
-struct RoundCounts {
-    adoptions: usize,
-    final_state_reads: usize,
-    /// Jobs that are leaving the cell, those of earlier rounds included.
-    leaving: usize,
-}
-
-impl RoundCounts {
-    /// Whether the round has room for one more such action, which is then counted.
-    fn admit(&mut self, action: &Action) -> bool {
-        match action {
-            Action::Adopt { .. } => count_up_to(&mut self.adoptions, MAX_ADOPTIONS_PER_ROUND),
-            Action::ReadFinalState { .. } => {
-                count_up_to(&mut self.final_state_reads, MAX_FINAL_STATE_READS_PER_ROUND)
-            }
-            Action::Withdraw { .. } => {
-                self.leaving += 1;
-                true
-            }
-            _ => true,
-        }
-    }
-}
-
-fn count_up_to(count: &mut usize, limit: usize) -> bool {
-    if *count == limit {
-        return false;
-    }
-    *count += 1;
-    true
-}
-
 /// The state machine of one controller.
 #[derive(Debug)]
 pub struct Planner {
@@ -176,11 +126,8 @@
     fn plan_owned(&mut self, round: Round<'_>, local_jobs: &LocalJobs) -> Vec<Action> {
         let mut actions = Vec::new();
         let mut room = AvailableRoom::of_other_cells(round, &self.cell);
-        let mut counts = RoundCounts {
-            adoptions: 0,
-            final_state_reads: 0,
-            leaving: self.relinquished.len() + local_jobs.count_withdrawn(),
-        };
+        let leaving = self.relinquished.len() + local_jobs.count_withdrawn();
+        let mut counts = RoundCounts::new(leaving);
         for (id, state) in &local_jobs.owned {
             let Some(job) = round.replica.jobs.get(id) else {
                 continue;
@@ -359,28 +306,6 @@
     }
 }
 
-/// Number of owned jobs that wait without being counted by the cell's own records, because they are about to
-/// be put into these, or to leave the cell.
-pub fn count_jobs_outside_records(
-    replica: &LedgerReplica,
-    owned: &[(String, LocalJobState)],
-) -> u64 {
-    let outside = owned
-        .iter()
-        .filter(|(id, state)| waits_outside_records(replica, id, *state));
-    outside.count() as u64
-}
-
-fn waits_outside_records(replica: &LedgerReplica, id: &str, state: LocalJobState) -> bool {
-    let is_outside = matches!(state, LocalJobState::Absent | LocalJobState::Withdrawn);
-    is_outside
-        && replica.jobs.get(id).is_some_and(|job| {
-            let dependencies = DependencyState::of(replica, &job.record);
-            // What depends on open jobs waits for these, not for a machine.
-            !job.record.cancelled && !matches!(dependencies, DependencyState::Pending)
-        })
-}
-
 /// Whether a job that has not started is kept from starting by protection.
 fn is_excluded(state: LocalJobState) -> bool {
     matches!(
--- a/src/renting/forecast.rs
+++ b/src/renting/forecast.rs
@@ -3,19 +3,21 @@
 //! The forecast is made in the scheduling cycle, from that cycle's snapshot; `service` publishes it. Nothing
 //! is decided here.
 
+mod waiting_work;
+
 use super::decide::{machine_type_facts, sum_forecasts};
 use super::summary::{DemandForecast, ForecastSummaryRecord, IdleMachine};
 use super::write_rate::adjust_write_rate;
-use crate::cloud::MachineType;
 use crate::fleet::MachineState;
 use crate::limits::MAX_PUBLISHED_BYTES;
 use crate::node::{Core, Node, age_s};
-use crate::placement::forecast::{BeyondHeadroom, Forecast, JobForecast, forecast};
+use crate::placement::batch_order;
+use crate::placement::forecast::{Forecast, forecast};
 use crate::placement::quota_headroom::QuotaHeadroom;
 use crate::placement::snapshot::{ClusterSnapshot, eligible_machine_types};
-use crate::placement::{FallbackPool, JobSnapshot, batch_order, capacity_of};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
+use waiting_work::WaitingWork;
 
 /// A startup queue that grows, and a gang that waits for its team's limit, are published before the period
 /// is over, but not more often than this.
@@ -83,7 +85,9 @@
     }
     let forecasts = record.by_machine_type.values();
     let published: u32 = forecasts.map(|f| f.startup_queue).sum();
-    let present: u32 = startup_queues(snapshot, startup_count).values().sum();
+    let permitted = permitted_tasks(snapshot);
+    let queues = startup_queues(snapshot, &permitted, startup_count);
+    let present: u32 = queues.values().sum();
     present >= published + MIN_QUEUE_GROWTH
 }
 
@@ -137,10 +141,13 @@
     snapshot.headroom.clone().permitted(&snapshot.jobs, &order)
 }
 
-/// The lengths of the startup queues by machine type.
-fn startup_queues(snapshot: &ClusterSnapshot, startup_count: u32) -> BTreeMap<String, u32> {
+/// The lengths of the startup queues by machine type, of the tasks that limits let start.
+fn startup_queues(
+    snapshot: &ClusterSnapshot,
+    permitted: &[u32],
+    startup_count: u32,
+) -> BTreeMap<String, u32> {
     let mut queues: BTreeMap<String, u32> = BTreeMap::new();
-    let permitted = permitted_tasks(snapshot);
     for (index, job) in snapshot.jobs.iter().enumerate() {
         if !snapshot.unplaceable[index] {
             let queued = startup_count.saturating_sub(job.started);
@@ -158,10 +165,10 @@
     snapshot: &ClusterSnapshot,
     placement: &Forecast,
 ) -> BTreeMap<String, DemandForecast> {
-    let queues = startup_queues(snapshot, node.policy.startup_count);
+    let permitted = permitted_tasks(snapshot);
+    let queues = startup_queues(snapshot, &permitted, node.policy.startup_count);
     let mut demand = completed_work(core, &queues);
     add_running_work(core, &mut demand);
-    let permitted = permitted_tasks(snapshot);
     for (index, job) in snapshot.jobs.iter().enumerate() {
         let name = &snapshot.pools[index];
         let known = core.kind(name);
@@ -212,102 +219,6 @@
     }
 }
 
-/// The waiting tasks of a job, with what the forecast says of them.
-struct WaitingWork<'a> {
-    job: &'a JobSnapshot,
-    /// The cheapest machine type that fits.
-    machine_type: &'a MachineType,
-    /// Tasks that the team's limit lets start.
-    permitted: u32,
-    forecast: JobForecast,
-    /// What machines keep waiting beyond what the limit lets start now.
-    beyond_headroom: BeyondHeadroom,
-    /// The next machine type that the tasks may run on, and the part of such a machine that each fills.
-    substitute: Option<&'a FallbackPool>,
-}
-
-impl WaitingWork<'_> {
-    /// Logs, of a limited team's job, what the forecast counts and what bounds the machines rented for it.
-    fn log_if_limited(&self) {
-        if self.job.team.is_none() {
-            return;
-        }
-        let share = self
-            .job
-            .resources
-            .dominant_share(&capacity_of(self.machine_type));
-        tracing::debug!(
-            job = self.job.id,
-            waiting = self.job.waiting.len(),
-            permitted = self.permitted,
-            late = self.forecast.late,
-            helped = self.forecast.helped,
-            helped_beyond_headroom = self.beyond_headroom.helped,
-            unused_quota_tasks = self.beyond_headroom.unused_quota_tasks,
-            wanted = self.machines_filled(share),
-            "limited team's job forecast"
-        );
-    }
-
-    fn add_to(&self, demand: &mut DemandForecast) {
-        let job = self.job;
-        let share = job
-            .resources
-            .dominant_share(&capacity_of(self.machine_type));
-        demand.waiting += job.waiting.len() as u32;
-        let permitted = f64::from(self.permitted) * share;
-        demand.counted_now += permitted;
-        if job.due < 0.0 {
-            demand.late_now += permitted;
-        }
-        let beyond_headroom = self.beyond_headroom.helped;
-        demand.counted_next += f64::from(self.forecast.tasks + beyond_headroom) * share;
-        demand.late_next += f64::from(self.forecast.late + beyond_headroom) * share;
-        let machines = self.machines_filled(share);
-        demand.wanted_machines += machines;
-        if !job.spot {
-            return;
-        }
-        demand.wanted_spot_machines += machines;
-        if let Some(substitute) = self.substitute {
-            let machines = self.machines_filled(substitute.dominant_share);
-            let substitutes = &mut demand.wanted_substitutes;
-            *substitutes.entry(substitute.name.clone()).or_default() += machines;
-        }
-    }
-
-    /// Machines that the late tasks would fill which new machines help, each task filling `share` of one. For
-    /// those beyond the team's headroom no more are counted than its unused quota could fill at once.
-    fn machines_filled(&self, share: f64) -> f64 {
-        let rounds = rounds_in_time(self.job.due, self.job.duration, self.machine_type.boot_s);
-        let BeyondHeadroom {
-            helped,
-            unused_quota_tasks,
-        } = self.beyond_headroom;
-        let slots = f64::from(self.forecast.helped) / rounds;
-        let all_slots = f64::from(self.forecast.helped + helped) / rounds;
-        let unused_quota = f64::from(self.permitted.min(unused_quota_tasks));
-        share * slots.max(all_slots.min(unused_quota))
-    }
-}
-
-/// How many late tasks a slot of a new machine can run one after the other, in time. Where none would be in
-/// time, no machine cures the miss, and the work is spread over `MAX_LATE_WORK_S`. All times in seconds.
-fn rounds_in_time(due: f64, duration: f64, boot_s: f64) -> f64 {
-    let window = due - boot_s;
-    let window = if window >= duration {
-        window
-    } else {
-        MAX_LATE_WORK_S
-    };
-    (window / duration).floor().clamp(1.0, MAX_ROUNDS)
-}
-
-/// How long work that is late anyway may take on machines rented for it.
-const MAX_LATE_WORK_S: f64 = 120.0;
-/// Rounds that are counted on at most.
-const MAX_ROUNDS: f64 = 6.0;
-
 /// Own machines of a type that have not reported yet.
 fn booting_machines(node: &Node, core: &Core, machine_type: &str) -> u32 {
     let machines = core.replica.fleet.machines.iter();
