Bound the forecast beyond headroom by jobs, and leave declined jobs out of a cell's waiting work

Each job that is mapped beyond the headroom looks at all machines once, and a team may have thousands of small ones; and a job that a cell cannot run, waiting there for its home, made the cell look busy to all others for as long as the home was away, so that none would spill work there. Change: 400 jobs a forecast, and none that quota alone keeps waiting past the horizon; a declined job counts as no waiting work. The planner's test and the cost test cover both. Measured: tests of rowanmill-cells, placement and renting pass; the cost of 1,000 jobs of 200 teams is within its bound.

--- a/crates/rowanmill-cells/src/plan.rs
+++ b/crates/rowanmill-cells/src/plan.rs
@@ -13,7 +13,6 @@
 mod takeover;
 
 pub use action::{Action, HandoverReason, LocalJobs};
-pub use outside_records::count_jobs_outside_records;
 
 use crate::config::CellsConfig;
 use crate::ranking::Ranking;
--- a/crates/rowanmill-cells/src/plan/tests.rs
+++ b/crates/rowanmill-cells/src/plan/tests.rs
@@ -262,7 +262,7 @@
 }
 
 /// Owned jobs that are about to enter the cell's records or to leave them count as waiting. Those that were
-/// cancelled, or that wait for other jobs, do not.
+/// cancelled, that wait for other jobs or that the cell cannot run, do not.
 #[test]
 fn jobs_outside_the_records_count_as_waiting() {
     let now = Instant::now();
@@ -271,7 +271,11 @@
     dependent.depends_on = vec![JOB.to_owned()];
     insert_job(&mut replica, "job-dependent", dependent);
     insert_job(&mut replica, "job-cancelled", job_of("a").into_cancelled());
-    let count = |id: &str, state| count_jobs_outside_records(&replica, &[(id.to_owned(), state)]);
+    let mut planner = Planner::new("a", &config());
+    insert_job(&mut replica, "job-declined", job_of("a"));
+    planner.record_ineligible("job-declined", EPOCH, now);
+    let count =
+        |id: &str, state| planner.count_jobs_outside_records(&replica, &[(id.to_owned(), state)]);
     assert_eq!(count(JOB, LocalJobState::Absent), 1);
     assert_eq!(count(JOB, LocalJobState::Withdrawn), 1);
     assert_eq!(count(JOB, open(false, 1)), 0, "the records count it");
@@ -279,6 +283,7 @@
     assert_eq!(count("job-dependent", LocalJobState::Absent), 0);
     assert_eq!(count("job-cancelled", LocalJobState::Absent), 0);
     assert_eq!(count("job-unknown", LocalJobState::Absent), 0);
+    assert_eq!(count("job-declined", LocalJobState::Absent), 0);
 }
 
 /// A cell that cannot run a job hands it to its home, or keeps it until another cell is present.
--- a/crates/rowanmill-cells/src/service/presence.rs
+++ b/crates/rowanmill-cells/src/service/presence.rs
@@ -1,7 +1,6 @@
 //! The cell's lease in the ledger, and the capacity that it publishes with its presence.
 
 use super::CellCoordinator;
-use crate::plan::count_jobs_outside_records;
 use crate::record::{CapacitySummary, CellPresence};
 use crate::replica::Versioned;
 use crate::scheduler::Scheduler;
@@ -83,7 +82,11 @@
         let ledger_revision = self.view().replica.revision;
         let owned = self.owned_job_states(scheduler);
         let summary = scheduler.capacity_summary();
-        let outside_records = count_jobs_outside_records(&self.view().replica, &owned);
+        let outside_records = {
+            let view = self.view();
+            let planner = self.planner.lock().unwrap();
+            planner.count_jobs_outside_records(&view.replica, &owned)
+        };
         CapacitySummary {
             waiting_tasks: summary.waiting_tasks + outside_records,
             ledger_revision: Some(ledger_revision),
--- a/crates/rowanmill-cells/tests/spilling/cell.rs
+++ b/crates/rowanmill-cells/tests/spilling/cell.rs
@@ -1,7 +1,7 @@
 //! One cell of the schedules: the real replica and planner, and machines as far as they matter for waiting.
 
 use super::{Ledger, NAMES};
-use rowanmill_cells::plan::{Action, LocalJobs, Planner, count_jobs_outside_records};
+use rowanmill_cells::plan::{Action, LocalJobs, Planner};
 use rowanmill_cells::record::{CapacitySummary, CellPresence};
 use rowanmill_cells::replica::LedgerReplica;
 use rowanmill_cells::transaction::{self, LedgerChange};
@@ -225,7 +225,10 @@
     }
 
     fn presence(&self, now: Instant) -> CellPresence {
-        let outside = count_jobs_outside_records(&self.replica, &self.owned_job_states(now));
+        let owned = self.owned_job_states(now);
+        let outside = self
+            .planner
+            .count_jobs_outside_records(&self.replica, &owned);
         CellPresence {
             controller: "m-0".to_owned(),
             incarnation: 1,
--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -11,7 +11,7 @@
 use super::quota_headroom::QuotaHeadroom;
 use super::{END_TOLERANCE, JobSnapshot, MachineSnapshot, SLACK, TasksByZone};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashSet};
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
 use std::sync::Arc;
 
 /// Counts of a job's waiting tasks.
@@ -130,16 +130,9 @@
     forecast: Forecast,
     gangs_placed: usize,
     last_gang: Misses,
-    /// Tasks of limited teams in the order in which they took headroom.
-    limited_tasks: Vec<LimitedTask>,
-}
-
-/// A task that took a limited team's headroom.
-#[derive(Debug, Clone, Copy)]
-struct LimitedTask {
-    job: usize,
-    /// `None` if no machine can take it.
-    placement: Option<TaskPlacement>,
+    /// Where the tasks of each job that took a limited team's headroom are; `None` for one that no machine can
+    /// take.
+    limited_tasks: BTreeMap<usize, Vec<Option<TaskPlacement>>>,
 }
 
 /// Maps all waiting tasks. The first `startup_count` tasks of each job are startup tasks.
@@ -162,7 +155,7 @@
         },
         gangs_placed: 0,
         last_gang: Misses::NONE,
-        limited_tasks: Vec::new(),
+        limited_tasks: BTreeMap::new(),
     };
     let mut queues = Queues::new(jobs);
     loop {
@@ -268,10 +261,8 @@
         progress.started += 1;
         self.headroom.take(view, 1);
         if view.team.is_some() {
-            self.limited_tasks.push(LimitedTask {
-                job,
-                placement: Some(*placement),
-            });
+            let tasks = self.limited_tasks.entry(job).or_default();
+            tasks.push(Some(*placement));
         }
         let (index, start) = (placement.machine, placement.start);
         self.machines
@@ -394,13 +385,9 @@
     /// Notes that no machine can take the rest of an array for which there is headroom.
     fn note_unplaceable(&mut self, job: usize) {
         if self.jobs[job].team.is_some() {
-            let unplaced = LimitedTask {
-                job,
-                placement: None,
-            };
             let rest = self.remaining(job);
-            self.limited_tasks
-                .extend(std::iter::repeat_n(unplaced, rest));
+            let tasks = self.limited_tasks.entry(job).or_default();
+            tasks.extend(std::iter::repeat_n(None, rest));
         }
     }
 
--- a/src/placement/forecast/beyond_headroom.rs
+++ b/src/placement/forecast/beyond_headroom.rs
@@ -18,6 +18,8 @@
 
 /// Most tasks beyond the headroom that one forecast maps, over all teams: it bounds the forecast's cost.
 const MAX_TASKS: usize = 4_000;
+/// Most jobs of which it maps such tasks: each looks at all machines once.
+const MAX_JOBS: usize = 400;
 /// Tasks are mapped that quota alone would start within so many run times after a machine rented now is up.
 const MAX_RUN_TIMES: f64 = 6.0;
 
@@ -48,6 +50,7 @@
     /// Maps the tasks beyond the headroom, of teams that have some. `headroom` is that of now.
     pub(super) fn map_beyond_headroom(&mut self, headroom: &QuotaHeadroom) {
         let mut budget = MAX_TASKS;
+        let mut jobs_left = MAX_JOBS;
         let mut teams: BTreeMap<usize, TeamTimelines> = BTreeMap::new();
         for job in batch_order(self.jobs) {
             let view = &self.jobs[job];
@@ -61,6 +64,14 @@
             let timelines = teams
                 .entry(team)
                 .or_insert_with(|| self.timelines(team, headroom));
+            let quota_start = timelines.quota_alone.earliest(&view.resources);
+            if quota_start.is_none_or(|start| start > horizon(view)) {
+                continue;
+            }
+            if budget == 0 || jobs_left == 0 {
+                return;
+            }
+            jobs_left -= 1;
             budget -= self.map_job(job, timelines, budget);
         }
     }
@@ -74,11 +85,12 @@
     fn timelines(&self, team: usize, headroom: &QuotaHeadroom) -> TeamTimelines {
         let mut with_machines = headroom.timeline(team);
         let mut quota_alone = with_machines.clone();
-        let tasks = self.limited_tasks.iter();
-        for task in tasks.filter(|task| self.jobs[task.job].team == Some(team)) {
-            let job = &self.jobs[task.job];
-            with_machines.take(&job.resources, task.placement.map(|placed| placed.end));
-            quota_alone.take(&job.resources, Some(run_time(job, task.placement)));
+        for (job, placements) in &self.limited_tasks {
+            let job = &self.jobs[*job];
+            for placement in placements.iter().filter(|_| job.team == Some(team)) {
+                with_machines.take(&job.resources, placement.map(|placed| placed.end));
+                quota_alone.take(&job.resources, Some(run_time(job, *placement)));
+            }
         }
         TeamTimelines {
             with_machines,
@@ -90,7 +102,6 @@
     fn map_job(&mut self, job: usize, timelines: &mut TeamTimelines, max: usize) -> usize {
         let view = &self.jobs[job];
         let up_at = view.provisioning_s;
-        let horizon = up_at + view.duration * MAX_RUN_TIMES;
         let start_times = self.start_times(job);
         let mut heap = BinaryHeap::from(self.ranked_machines(job, start_times));
         let mut running = self.running_at(job, up_at);
@@ -98,7 +109,7 @@
         let count = self.unmapped(job).min(MAX_TASKS_PER_JOB).min(max);
         for mapped in 0..count {
             let quota_start = timelines.quota_alone.earliest(&view.resources);
-            let Some(quota_start) = quota_start.filter(|start| *start <= horizon) else {
+            let Some(quota_start) = quota_start.filter(|start| *start <= horizon(view)) else {
                 self.finish_job(job, helped, &running);
                 return mapped;
             };
@@ -134,10 +145,10 @@
     fn running_at(&self, job: usize, at: f64) -> RunningThen {
         let view = &self.jobs[job];
         let mut running = RunningThen::default();
-        for task in self.limited_tasks.iter().filter(|task| task.job == job) {
-            running.quota_alone += u32::from(run_time(view, task.placement) > at);
+        for placement in self.limited_tasks.get(&job).into_iter().flatten() {
+            running.quota_alone += u32::from(run_time(view, *placement) > at);
             let runs = |placed: TaskPlacement| placed.start <= at && placed.end > at;
-            running.with_machines += u32::from(task.placement.is_some_and(runs));
+            running.with_machines += u32::from(placement.is_some_and(runs));
         }
         running
     }
@@ -177,6 +188,11 @@
     }
 }
 
+/// Tasks of a job that quota alone would start later than this are not mapped.
+fn horizon(job: &JobSnapshot) -> f64 {
+    job.provisioning_s + job.duration * MAX_RUN_TIMES
+}
+
 /// Seconds for which a task uses quota; on no machine, its run time alone.
 fn run_time(job: &JobSnapshot, placement: Option<TaskPlacement>) -> f64 {
     placement.map_or(job.duration, |placed| placed.end - placed.start)
--- a/src/placement/forecast/beyond_headroom/tests.rs
+++ b/src/placement/forecast/beyond_headroom/tests.rs
@@ -146,28 +146,31 @@
     assert!(found.helped > 0);
 }
 
-/// Hundreds of teams with thousands of tasks each cost no more than the bound on mapped tasks.
+/// Hundreds of teams with several jobs of thousands of tasks cost no more than the bounds on jobs and on mapped
+/// tasks.
 #[test]
 fn the_cost_is_bounded_over_all_teams() {
     const TEAMS: usize = 200;
+    const JOBS_PER_TEAM: usize = 5;
     let mut headroom = QuotaHeadroom::default();
     let mut jobs = Vec::new();
     for team in 0..TEAMS {
         headroom.add(cpus(8.0), cpus(12.0));
-        let mut job = limited_job(5_000, 10.0);
-        job.id = format!("job-{team:04}");
-        job.index = team;
-        job.team = Some(team);
-        jobs.push(job);
+        for _ in 0..JOBS_PER_TEAM {
+            let mut job = limited_job(5_000, 10.0);
+            job.id = format!("job-{:04}", jobs.len());
+            job.index = jobs.len();
+            job.team = Some(team);
+            jobs.push(job);
+        }
     }
     let machines: Vec<MachineSnapshot> = (0..100)
         .map(|number| machine(&format!("m-{number}"), 0.0, 4.0))
         .collect();
     let predicted = forecast(&jobs, &machines, &headroom, STARTUP_COUNT);
-    // Each team's search looks at all machines within the headroom and once more beyond it, and each mapped
-    // task at one more.
-    let searches = 2 * TEAMS * machines.len();
-    let within_headroom = TEAMS * 8 * (machines.len() + 1);
-    let bound = searches + within_headroom + MAX_TASKS;
+    // Within the headroom of eight tasks each looks at all machines at most, as do a team's searches for its
+    // head; beyond it each job does once, and each mapped task looks at one more.
+    let within_headroom = TEAMS * (8 + 1) * (machines.len() + 1);
+    let bound = within_headroom + MAX_JOBS * machines.len() + MAX_TASKS;
     assert!(predicted.machines_examined as usize <= bound);
 }
