--- a/crates/rowanmill-limits/src/demand.rs
+++ b/crates/rowanmill-limits/src/demand.rs
@@ -76,10 +76,12 @@
 }
 
 /// Whether a controller leaves the limit to others for now: it has no machine, and others that have some wait for
-/// the limit. Where nobody could use the headroom, it is kept where the next machine may be rented for it.
+/// the limit. Where nobody could use the headroom, it is kept where the next machine may be rented for it. A gang
+/// asks for the limit only once its machines are near or it has waited for long, so that nothing is yielded then.
 pub(crate) fn yields_headroom(demand: &MemberDemand, members: &[MemberDemand]) -> bool {
     let could_use_it = |other: &MemberDemand| !other.lacks_machines && !other.waiting.is_zero();
-    demand.lacks_machines && members.iter().any(could_use_it)
+    let asks_for_gang = demand.oldest.as_ref().is_some_and(|unit| unit.is_gang);
+    demand.lacks_machines && !asks_for_gang && members.iter().any(could_use_it)
 }
 
 /// Whether `limit` is enough for all that runs and waits.
--- a/crates/rowanmill-limits/tests/idle_headroom.rs
+++ b/crates/rowanmill-limits/tests/idle_headroom.rs
@@ -131,6 +131,19 @@
     assert_eq!(release(&members), (None, None));
 }
 
+/// A gang that asks for the limit gathers it without a machine, too: it has waited for that already.
+#[test]
+fn a_gang_that_asks_for_the_limit_yields_nothing() {
+    let mut members = two_run_and_one_lacks_machines(true);
+    if let Some(gang) = &mut members[2].oldest {
+        gang.is_gang = true;
+    }
+    assert_eq!(release(&members), (None, None));
+    let mut holder = Controller::new(&members, 0);
+    let change = holder.next_change(&record([2, 1, 0]), Instant::now());
+    assert_eq!(change.unwrap().record, record([1, 1, 1]));
+}
+
 /// The slot does not come back before its controller has a machine, however old the work there is, and comes back
 /// then.
 #[test]
