--- a/review/harness/src/bin/case1.rs
+++ b/review/harness/src/bin/case1.rs
@@ -1,4 +1,4 @@
-//! A guest team submits three jobs with as many tasks as a job may have, while other work runs.
+//! A guest team submits jobs with as many tasks as a job may have, which wait for a small one, while other work runs.
 
 use hyper::Method;
 use rowanmill_review::has_trouble;
@@ -12,16 +12,20 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 /// "a job about which no question is answered for 75 s counts as forgotten, however others fare"
 const FORGOTTEN: Duration = Duration::from_secs(75);
-/// How long users ask.
-const ASKING: Duration = Duration::from_secs(84);
+/// Seconds after the beginning of the case until which users ask.
+const ASKED_UNTIL_S: f64 = 111.0;
 
-/// A gang of very many small tasks: ten CPUs and 10 GB in all.
+/// How many giant jobs the guest team submits.
+const GIANTS: u32 = 30;
+
+/// A gang of very many small tasks: one CPU and 1 GB in all.
 fn giant(number: u32) -> Value {
     let mut job = array(number, "storefront", 100_000);
     job["shape"] = json!("group");
-    job["cpus"] = json!(0.0001);
-    job["memGb"] = json!(0.0001);
+    job["cpus"] = json!(0.00001);
+    job["memGb"] = json!(0.00001);
     job["pullGb"] = json!(0.1);
+    job["awaits"] = json!(["job-000002"]);
     job
 }
 
@@ -45,22 +49,30 @@
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
+    let mut first = array(2, "storefront", 1);
+    first["pullGb"] = json!(0.1);
+    if !site.submit(1, &first, Duration::from_secs(7)).await {
+        site.could_not_run("the first job of the pipeline was not accepted")
+            .await;
+    }
     if has_trouble() {
-        let jobs = [giant(2), giant(3), giant(4)];
-        let accepted = tokio::join!(
-            site.request(0, Method::POST, "/v1/jobs", jobs[0].clone()),
-            site.request(1, Method::POST, "/v1/jobs", jobs[1].clone()),
-            site.request(2, Method::POST, "/v1/jobs", jobs[2].clone()),
-        );
-        if accepted.0.0 != 201 && accepted.1.0 != 201 && accepted.2.0 != 201 {
-            site.could_not_run("no giant job was accepted").await;
+        let all = (3..3 + GIANTS).collect::<Vec<u32>>();
+        for numbers in all.chunks(3) {
+            let jobs = [giant(numbers[0]), giant(numbers[1]), giant(numbers[2])];
+            let accepted = tokio::join!(
+                site.submit(0, &jobs[0], Duration::from_secs(60)),
+                site.submit(1, &jobs[1], Duration::from_secs(60)),
+                site.submit(2, &jobs[2], Duration::from_secs(60)),
+            );
+            if accepted != (true, true, true) {
+                site.could_not_run("a giant job was not accepted").await;
+            }
         }
     }
     // Users ask each controller about the small job, once a second.
     let answered = Arc::new(Mutex::new(Instant::now()));
-    let begin = Instant::now();
     let mut longest = Duration::ZERO;
-    while begin.elapsed() < ASKING && longest <= FORGOTTEN {
+    while site.record.now_s() < ASKED_UNTIL_S && longest <= FORGOTTEN {
         for (number, addr) in site.api.iter().enumerate() {
             let (addr, record, answered) = (*addr, site.record.clone(), answered.clone());
             tokio::spawn(async move {
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -216,9 +216,6 @@
     }
 }
 
-/// Handles a request to the state service, or passes it on.
-pub type Filter = Arc<dyn Fn(usize, &StubRequest) -> bool + Send + Sync>;
-
 pub struct Site {
     pub config: Config,
     pub record: Record,
@@ -489,6 +486,16 @@
     }
 }
 
+impl Drop for Site {
+    /// Ends the processes if the case ends by a panic.
+    fn drop(&mut self) {
+        for process in self.processes.iter_mut().flatten() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
+
 /// A submission: an array of tasks of one CPU and 1 GB, without a deadline.
 pub fn array(number: u32, team: &str, tasks: u32) -> Value {
     json!({"nameId": format!("job-{number:06}"), "grist": "clip-cut", "crew": team, "shape": "array",
