--- a/review/harness/src/bin/case2.rs
+++ b/review/harness/src/bin/case2.rs
@@ -22,7 +22,7 @@
 #[tokio::main]
 async fn main() {
     let mut site = Site::new(Config {
-        teams: vec![("storefront", 8.0), ("audio-eng", 0.0)],
+        teams: vec![("storefront", 7.0), ("audio-eng", 0.0)],
         ..Config::default()
     })
     .await;
@@ -43,12 +43,12 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
 
     // Two gangs of one task, each as large as the team's limit.
-    let first = gang(2, "storefront", 8.0);
+    let first = gang(2, "storefront", 7.0);
     if has_trouble() {
         site.state
             .inject_fault("/job-000002/", TransactionFault::Delayed, 1);
     }
-    let mut urgent = gang(3, "storefront", 8.0);
+    let mut urgent = gang(3, "storefront", 7.0);
     urgent["urgency"] = json!("urgent");
     if !site.submit(0, &first, RUN).await {
         site.could_not_run("a job was not accepted").await;
