Measure cycle phases and the state's lock, and log both

Cause: a controller that answers nobody showed only `longest_ms`, the whole cycle. Neither the phase nor the holder of the lock could be told.

Change: each phase of a scheduling cycle has its longest and total elapsed time per period (`cycle phases, us`); the lock on the shared state counts waits and names the call that held it for longest (`state lock, us`); packing and forecasts count the free slots that they examine (`c.slots`). The two kept traces of a period's log lines change by the new lines and the new field alone.

--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -12,7 +12,7 @@
 use super::archive::archive_ended_jobs;
 use super::garbage_collection::collect_garbage;
 use crate::limits;
-use crate::metrics::CpuAccount;
+use crate::metrics::{CpuAccount, CyclePhase};
 use crate::node::{Core, Node};
 use crate::pipelines;
 use crate::state::max_preconditions;
@@ -95,6 +95,7 @@
 /// Discards the starts that cannot be written, and selects the pages to write from the remaining changes.
 fn discard_and_select(core: &mut Core, node: &Node, now: Instant) -> Vec<PendingPageWrite> {
     let _charge = node.processor_time.charge(CpuAccount::RecordWrites);
+    let _timer = node.phase_times.start(CyclePhase::PageSelection);
     // The watch may have delivered a new owner of a machine since the cycle began. Observations made under the
     // previous ownership are discarded here; otherwise they would be written with the revision of the new owner's
     // record as their precondition.
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,12 +1,14 @@
 //! Counters of this controller's work, logged for operators at the end of each period.
 
+pub mod cycle_phases;
 pub mod memory;
 pub mod processor_time;
 
 use crate::jobs::TaskRecord;
 use crate::limits;
-use crate::node::{Core, Node};
+use crate::node::{Core, LockTimes, Node};
 use crate::state::replica::Job;
+pub use cycle_phases::{CyclePhase, PhaseTimes};
 pub use processor_time::{CpuAccount, ProcessorTime};
 use rowanmill_state::RequestCounters;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -47,6 +49,8 @@
     pub fence_writes: u64,
     /// Machines that the forecast and the placement examined.
     pub machines_examined: u64,
+    /// Free slots of machines that the forecast and the placement examined.
+    pub slots_examined: u64,
     /// Snapshots of jobs and machines that were rebuilt because of changes.
     pub rebuilt_snapshots: u64,
     /// Time spent in scheduling cycles.
@@ -75,6 +79,7 @@
             quota_transfers: 0,
             fence_writes: 0,
             machines_examined: 0,
+            slots_examined: 0,
             rebuilt_snapshots: 0,
             scheduling_time: Duration::ZERO,
             longest_cycle: Duration::ZERO,
@@ -113,6 +118,8 @@
 /// Logs the counters of the period that ends `now`, and begins the next one.
 pub fn log_period(node: &Node, now: Instant) {
     let totals = Totals::read(node);
+    log_cycle_phases(&node.phase_times);
+    log_lock_times(&node.take_lock_times());
     let mut core = node.core();
     log_counters(&core, &totals, now);
     log_processor_time(&core.metrics.at_period_start, &totals);
@@ -146,6 +153,7 @@
         c.transfers = period.quota_transfers,
         c.fences = period.fence_writes,
         c.steps = period.machines_examined,
+        c.slots = period.slots_examined,
         c.views = period.rebuilt_snapshots,
         placing_ms = period.scheduling_time.as_millis() as u64,
         longest_ms = period.longest_cycle.as_millis() as u64,
@@ -187,6 +195,47 @@
     );
 }
 
+/// Logs the elapsed time of each phase of the scheduling cycles: the longest of the period and, with the ending
+/// `_sum`, all of them.
+fn log_cycle_phases(phase_times: &PhaseTimes) {
+    let times = phase_times.take();
+    let longest = |phase: CyclePhase| times[phase as usize].longest.as_micros() as u64;
+    let sum = |phase: CyclePhase| times[phase as usize].total.as_micros() as u64;
+    tracing::info!(
+        assignment = longest(CyclePhase::Assignment),
+        snapshot = longest(CyclePhase::Snapshot),
+        forecast = longest(CyclePhase::Forecast),
+        packing = longest(CyclePhase::Packing),
+        start_planning = longest(CyclePhase::StartPlanning),
+        eviction = longest(CyclePhase::Eviction),
+        writing = longest(CyclePhase::Writing),
+        page_selection = longest(CyclePhase::PageSelection),
+        assignment_sum = sum(CyclePhase::Assignment),
+        snapshot_sum = sum(CyclePhase::Snapshot),
+        forecast_sum = sum(CyclePhase::Forecast),
+        packing_sum = sum(CyclePhase::Packing),
+        start_planning_sum = sum(CyclePhase::StartPlanning),
+        eviction_sum = sum(CyclePhase::Eviction),
+        writing_sum = sum(CyclePhase::Writing),
+        page_selection_sum = sum(CyclePhase::PageSelection),
+        "cycle phases, us"
+    );
+}
+
+/// Logs the waits for the lock on the shared state, and the call that held it for longest.
+fn log_lock_times(times: &LockTimes) {
+    let holder = times.longest_holder.map(ToString::to_string);
+    tracing::info!(
+        acquisitions = times.acquisitions,
+        waits = times.waits,
+        waited = times.waited.as_micros() as u64,
+        longest_wait = times.longest_wait.as_micros() as u64,
+        longest_hold = times.longest_hold.as_micros() as u64,
+        longest_holder = holder.unwrap_or_default(),
+        "state lock, us"
+    );
+}
+
 /// Maximum number of the oldest unfinished jobs that are logged.
 const OLDEST_JOBS_LOGGED: usize = 3;
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,12 +4,14 @@
 
 mod clock;
 mod contact;
+mod lock;
 mod ownership;
 mod read_barrier;
 mod scheduling_cycles;
 mod tasks;
 
 pub use clock::{age_s, wall_ms};
+pub use lock::{CoreGuard, LockTimes};
 
 use crate::cloud::{CloudClient, MachineType};
 use crate::jobs::PageLayout;
@@ -22,13 +24,14 @@
 use crate::membership::schema_versions::FeatureLevel;
 use crate::mesh::attestation::PeerStatus;
 use crate::metrics::memory::MemoryPressure;
-use crate::metrics::{Metrics, ProcessorTime};
+use crate::metrics::{Metrics, PhaseTimes, ProcessorTime};
 use crate::placement::snapshot_cache::SnapshotCache;
 use crate::policy::Policy;
 use crate::renting::state::ScalingState;
 use crate::settings::Settings;
 use crate::state::{Operation, Replica, StateClient};
 use crate::workers::Workers;
+use lock::StateLock;
 use read_barrier::ReadBarriers;
 use rowanmill_cells::{CellCoordinator, CellsConfig};
 use rowanmill_limits::LimitsConfig;
@@ -77,7 +80,7 @@
     pub supported_level: FeatureLevel,
     pub state: StateClient,
     pub cloud: CloudClient,
-    core: Mutex<Core>,
+    core: StateLock,
     pub read_barriers: ReadBarriers,
     /// Starts the next scheduling cycle early, after a change that it should consider.
     pub wake_up: Notify,
@@ -86,6 +89,7 @@
     /// Exchanges jobs with other cells; `None` unless the operators configured cells.
     pub cells: Option<Arc<CellCoordinator>>,
     pub processor_time: ProcessorTime,
+    pub phase_times: PhaseTimes,
     pub memory: MemoryPressure,
 }
 
@@ -105,13 +109,14 @@
                 settings.announced_state_quota(),
             ),
             cloud: CloudClient::new(settings.endpoints.cloud),
-            core: Mutex::new(Core::new(settings.page_layout(), now)),
+            core: StateLock::new(Core::new(settings.page_layout(), now)),
             read_barriers: ReadBarriers::default(),
             wake_up: Notify::new(),
             scheduling_cycles: SchedulingCycles::default(),
             peer_status: Mutex::default(),
             cells: None,
             processor_time: ProcessorTime::default(),
+            phase_times: PhaseTimes::default(),
             memory: MemoryPressure::new(settings.params.limits.mem_mb),
             settings,
             policy,
@@ -145,8 +150,14 @@
     }
 
     /// Locks the shared state. The guard must not be held across an `await`.
-    pub fn core(&self) -> MutexGuard<'_, Core> {
-        self.core.lock().unwrap()
+    #[track_caller]
+    pub fn core(&self) -> CoreGuard<'_> {
+        self.core.lock()
+    }
+
+    /// Waits for the shared state's lock and times for which it was held, since the last call.
+    pub fn take_lock_times(&self) -> LockTimes {
+        self.core.take_times()
     }
 
     /// Locks the peers' latest answers. Lock order: if both are needed, lock the shared state first.
--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -48,6 +48,8 @@
     pub machines_needed: HashSet<Arc<str>>,
     /// Machines that were examined: a measure of the forecast's cost.
     pub machines_examined: u64,
+    /// Free slots of machines that were examined.
+    pub slots_examined: u64,
 }
 
 /// Most tasks of one job that are assigned individually. The remaining tasks of a larger job count as late,
@@ -183,6 +185,7 @@
         }
     }
     forecaster.assign_beyond_headroom(headroom);
+    forecaster.forecast.slots_examined = forecaster.machines.slots_examined();
     forecaster.forecast
 }
 
--- a/src/placement/index.rs
+++ b/src/placement/index.rs
@@ -121,6 +121,8 @@
     start_times: Vec<StartTimes>,
     /// The largest capacity of any machine, by resource.
     largest_capacity: Resources,
+    /// Free slots and cached requests that were examined: a measure of the cost.
+    slots_examined: Cell<u64>,
 }
 
 impl<'a> MachineIndex<'a> {
@@ -157,9 +159,21 @@
             pools,
             start_times: Vec::new(),
             largest_capacity,
+            slots_examined: Cell::new(0),
         }
     }
 
+    /// Free slots and cached requests that were examined so far: a measure of the cost that grows with the number
+    /// of tasks on a machine, whereas the number of machines examined does not.
+    pub fn slots_examined(&self) -> u64 {
+        self.slots_examined.get()
+    }
+
+    fn count_slots(&self, slots: usize) {
+        self.slots_examined
+            .set(self.slots_examined.get() + slots as u64);
+    }
+
     /// The machines with all changes made so far.
     pub fn machines(&self) -> &[MachineSnapshot] {
         self.machines
@@ -254,6 +268,7 @@
     }
 
     fn start_times_of(&mut self, resources: &Resources) -> StartTimesId {
+        self.count_slots(self.start_times.len());
         let position = self
             .start_times
             .iter()
@@ -273,6 +288,7 @@
         let start_times = &self.start_times[id.0];
         let cached = &start_times.times[machine];
         if cached.get().is_nan() {
+            self.count_slots(self.machines[machine].free_slots.len());
             let start = self.machines[machine].earliest_start(&start_times.resources);
             cached.set(start.unwrap_or(f64::INFINITY));
         }
@@ -290,6 +306,7 @@
 
     /// Takes capacity on a machine for a task from `start` to `end`.
     pub fn occupy(&mut self, machine: usize, resources: &Resources, start: f64, end: f64) {
+        self.count_slots(self.machines[machine].free_slots.len());
         self.machines[machine].occupy(resources, start, end);
         self.invalidate(machine);
     }
--- a/src/placement/packing/mod.rs
+++ b/src/placement/packing/mod.rs
@@ -36,6 +36,8 @@
     pub quota_blocked_gangs: Vec<usize>,
     /// Cost of the packing: how many times it examined a machine.
     pub machines_examined: u64,
+    /// Free slots of machines that were examined.
+    pub slots_examined: u64,
 }
 
 /// Limits that apply to one packing.
@@ -130,6 +132,7 @@
             packer.place_tasks(head, remaining_starts);
         }
     }
+    packer.result.slots_examined = packer.machines.slots_examined();
     packer.result
 }
 
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -15,7 +15,7 @@
 use crate::jobs::writer;
 use crate::limits;
 use crate::membership;
-use crate::metrics::{self, CpuAccount, Metrics};
+use crate::metrics::{self, CpuAccount, CyclePhase, Metrics};
 use crate::node::{Core, Node, wall_ms};
 use crate::renting;
 use std::sync::Arc;
@@ -61,6 +61,7 @@
     let leader_revision = membership::leader_revision(node);
     membership::record_leadership(node, leader_revision);
     if let Some(revision) = leader_revision {
+        let _timer = node.phase_times.start(CyclePhase::Assignment);
         membership::rebalance(node, revision).await;
         limits::allocate_limits(node, revision).await;
     }
@@ -70,6 +71,7 @@
     }
     let planning_time = started_at.elapsed();
     record_cycle_metrics(&mut node.core().metrics, planning_time);
+    let _timer = node.phase_times.start(CyclePhase::Writing);
     limits::change_own_allocations(node, started_at).await;
     writer::write(node, leader_revision.is_some()).await;
     planning_time
@@ -92,14 +94,17 @@
     // The first forecast is made as soon as there is a job or a machine; its period counts from then on.
     if !core.replica.jobs.is_empty() || !core.replica.fleet.machines.is_empty() {
         let _charge = node.processor_time.charge(CpuAccount::Forecast);
+        let _timer = node.phase_times.start(CyclePhase::Forecast);
         renting::forecast::update_forecast(node, &mut core, &snapshot, now, now_ms);
     }
     if !snapshot.jobs.is_empty() {
         let unplaced = starts::plan_starts(node, &mut core, &mut snapshot);
         let _charge = node.processor_time.charge(CpuAccount::Planning);
+        let _timer = node.phase_times.start(CyclePhase::Eviction);
         preempt::preempt(node, &mut core, &snapshot, &unplaced, now);
     }
     let _charge = node.processor_time.charge(CpuAccount::Planning);
+    let _timer = node.phase_times.start(CyclePhase::Eviction);
     evictions::evict_broken_gangs(&mut core);
     evictions::evict_before_cloud_preemption(node, &mut core, now);
     true
@@ -113,6 +118,7 @@
     now_ms: u64,
 ) -> Option<ClusterSnapshot> {
     let _charge = node.processor_time.charge(CpuAccount::Snapshots);
+    let _timer = node.phase_times.start(CyclePhase::Snapshot);
     core.update_ownership(&node.identity, now);
     if core.machine_types.is_empty() {
         return None;
--- a/src/placement/service/starts.rs
+++ b/src/placement/service/starts.rs
@@ -3,7 +3,7 @@
 
 use crate::jobs::{TaskId, TaskRecord};
 use crate::limits;
-use crate::metrics::CpuAccount;
+use crate::metrics::{CpuAccount, CyclePhase};
 use crate::node::{Core, Node};
 use crate::placement::machine_tasks::spec_of;
 use crate::placement::snapshot::ClusterSnapshot;
@@ -21,6 +21,7 @@
 ) -> Vec<packing::Unplaced> {
     let placement = {
         let _charge = node.processor_time.charge(CpuAccount::Placement);
+        let _timer = node.phase_times.start(CyclePhase::Packing);
         let limits = packing::PackingLimits {
             headroom: &snapshot.headroom,
             reservation_delay_s: core.limits.reservation_delay_s(),
@@ -34,7 +35,9 @@
         )
     };
     let _charge = node.processor_time.charge(CpuAccount::Planning);
+    let _timer = node.phase_times.start(CyclePhase::StartPlanning);
     core.metrics.machines_examined += placement.machines_examined;
+    core.metrics.slots_examined += placement.slots_examined;
     core.metrics.task_starts += placement.starts.len() as u64;
     let blocked = placement
         .quota_blocked_gangs
--- a/src/renting/forecast.rs
+++ b/src/renting/forecast.rs
@@ -44,6 +44,7 @@
     let headroom = headroom_with_releases(core, snapshot, now);
     let placement = forecast(&snapshot.jobs, &snapshot.machines, &headroom, startup_count);
     core.metrics.machines_examined += placement.machines_examined;
+    core.metrics.slots_examined += placement.slots_examined;
     let record = summarize(node, core, snapshot, &placement, now_ms);
     if is_due {
         begin_period(node, core, now, now_ms);
--- a/src/testing/compatibility/observability.rs
+++ b/src/testing/compatibility/observability.rs
@@ -42,7 +42,9 @@
 /// Replaces the values of fields that differ between runs.
 fn without_measured(log: &str) -> String {
     let measured = |line: &str, field: &str| {
-        let is_time = line.contains("processor time") && field != "us";
+        let is_time = ["processor time", "cycle phases", "state lock"]
+            .iter()
+            .any(|kind| line.contains(kind));
         is_time || ["seconds", "allocated"].contains(&field)
     };
     let lines = log.lines().map(|line| {
@@ -87,6 +89,7 @@
         counters.quota_transfers = 12;
         counters.fence_writes = 13;
         counters.machines_examined = 14;
+        counters.slots_examined = 18;
         counters.rebuilt_snapshots = 15;
         counters.scheduling_time = Duration::from_millis(160);
         counters.longest_cycle = Duration::from_millis(17);
