Place gangs and arrays at a cost that follows machines, not tasks

Users saw: thirty jobs of 100,000 tasks, and no controller answered anybody for over 75 s; one such job silenced a controller for a minute or two.

Cause: a gang's placement took time with the square of its tasks, on the only thread and with the state locked: `start_times` looked each multiple of the request up in a list of all multiples, every machine was searched for each multiple, and `occupy` added a slot for each task and went through all of them for the next. A change of a job, and its end, went through all its tasks.

Change: tasks that could start on a machine at the same time are one group, in forecasts and in packing; what is released at the same time is one slot; forecasts place such a group of an array at once. Waiting tasks are ranges. The counts of a job and its end go through its pages.

--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -108,6 +108,14 @@
     end: f64,
 }
 
+/// Tasks of a job with the same placement that use a limited team's headroom.
+#[derive(Debug, Clone, Copy)]
+struct LimitedTasks {
+    tasks: usize,
+    /// `None` if no machine can run the tasks.
+    placement: Option<TaskPlacement>,
+}
+
 impl TaskPlacement {
     fn is_late(&self, job: &JobSnapshot) -> bool {
         job.is_late(self.start, self.fetch, self.end)
@@ -138,9 +146,8 @@
     gangs_placed: usize,
     /// The outcome of the last of these gangs.
     last_gang_lateness: Lateness,
-    /// By job: the placements of its tasks that use a limited team's headroom; `None` for a task that no
-    /// machine can run.
-    limited_tasks: BTreeMap<usize, Vec<Option<TaskPlacement>>>,
+    /// By job: its tasks that use a limited team's headroom.
+    limited_tasks: BTreeMap<usize, Vec<LimitedTasks>>,
 }
 
 /// Makes the forecast of all waiting tasks. The first `startup_count` tasks of each job that is not a
@@ -179,7 +186,7 @@
             && let Some(placement) = forecaster.best_placement(first)
             && forecaster.startup_may_pass(first, &placement, head)
         {
-            forecaster.place(first, &placement);
+            forecaster.place(first, &placement, 1);
         } else {
             forecaster.place_array(head);
         }
@@ -206,7 +213,7 @@
 
     /// The times at which one task of the job could start on each machine.
     fn start_times(&mut self, job: usize) -> StartTimesId {
-        self.machines.start_times(&self.jobs[job].resources, 1)[0]
+        self.machines.start_times(&self.jobs[job].resources)
     }
 
     fn placement_on(
@@ -263,37 +270,45 @@
         best.map(|(_, placement)| placement)
     }
 
-    /// Assigns the job's next task to a machine.
-    fn place(&mut self, job: usize, placement: &TaskPlacement) {
+    /// Assigns the job's next `tasks` tasks to a machine.
+    fn place(&mut self, job: usize, placement: &TaskPlacement, tasks: usize) {
         let job_snapshot = &self.jobs[job];
         let progress = &mut self.progress[job];
-        progress.next_task += 1;
-        progress.started += 1;
-        self.headroom.take(job_snapshot, 1);
+        progress.next_task += tasks;
+        progress.started += tasks as u32;
+        self.headroom.take(job_snapshot, tasks);
         if job_snapshot.team.is_some() {
-            let tasks = self.limited_tasks.entry(job).or_default();
-            tasks.push(Some(*placement));
+            self.limited_tasks
+                .entry(job)
+                .or_default()
+                .push(LimitedTasks {
+                    tasks,
+                    placement: Some(*placement),
+                });
         }
         let (index, start) = (placement.machine, placement.start);
+        let requested = job_snapshot.resources.scaled(tasks as f64);
         self.machines
-            .occupy(index, &job_snapshot.resources, start, placement.end);
+            .occupy(index, &requested, start, placement.end);
         self.machines.use_image(index, job_snapshot.image);
         let machine = &self.machines.machines()[index];
         if machine.cpus_per_gpu == 0.0 || job_snapshot.resources.gpus > 0.0 {
             self.forecast.machines_needed.insert(machine.name.clone());
         }
         if start <= ROUNDING_TOLERANCE {
-            *progress.zones.entry(machine.zone).or_default() += 1;
+            *progress.zones.entry(machine.zone).or_default() += tasks as u32;
         }
         let late = placement.is_late(job_snapshot);
         let lateness = Lateness {
             late,
             helped: late && start > job_snapshot.provisioning_s,
         };
-        self.forecast.jobs[job].add(1, lateness);
+        self.forecast.jobs[job].add(tasks, lateness);
     }
 
-    /// Assigns the remaining tasks of an array. A heap orders the machines by the rank of the next task there.
+    /// Assigns the remaining tasks of an array. A heap orders the machines by the rank of the next task there. All
+    /// tasks that can start on a machine at the same time are assigned together: each of them makes the machine fuller
+    /// and thus raises its rank, so that the next one would go there, too.
     fn place_array(&mut self, job: usize) {
         let start_times = self.start_times(job);
         let mut heap = BinaryHeap::from(self.ranked_machines(job, start_times));
@@ -312,8 +327,10 @@
                 continue;
             };
             is_last_late = placement.is_late(&self.jobs[job]);
-            self.place(job, &placement);
-            placed += 1;
+            let wanted = self.remaining(job).min(MAX_TASKS_PER_JOB - placed);
+            let tasks = self.tasks_together(job, &placement, wanted);
+            self.place(job, &placement, tasks);
+            placed += tasks;
             self.forecast.machines_examined += 1;
             let times = self.machines.task_times(&self.jobs[job]);
             if let Some(next) = self.placement_on(machine, start_times, &times) {
@@ -323,6 +340,29 @@
         self.count_remaining(job, is_last_late);
     }
 
+    /// How many of `wanted` tasks can start on the placement's machine at the same time; at least one. The first
+    /// task on a machine that has to fetch the image is placed alone, since the next ones need not wait for that.
+    fn tasks_together(&self, job: usize, placement: &TaskPlacement, wanted: usize) -> usize {
+        if placement.fetch > 0.0 {
+            return 1;
+        }
+        let job_snapshot = &self.jobs[job];
+        let TaskPlacement { machine, start, .. } = *placement;
+        let zones = &self.progress[job].zones;
+        // Only tasks that start now count towards the limit on a zone.
+        let wanted = if start <= ROUNDING_TOLERANCE {
+            let zone = self.machines.zone(machine);
+            wanted.min(job_snapshot.tasks_addable_in_zone(zones, zone))
+        } else {
+            wanted
+        };
+        let resources = &job_snapshot.resources;
+        let fitting = self
+            .machines
+            .tasks_starting_at(machine, resources, start, wanted);
+        fitting.max(1)
+    }
+
     /// The machines that the job may use, each with the rank of the job's next task there.
     fn ranked_machines(
         &mut self,
@@ -368,14 +408,14 @@
         // All tasks of a gang start and end at the same time.
         let start = slots.iter().map(|slot| slot.start).fold(0.0, f64::max);
         let end = slots.iter().map(|slot| slot.end).fold(0.0, f64::max);
-        for slot in slots {
+        for slots in slots {
             let placement = TaskPlacement {
-                machine: slot.machine,
+                machine: slots.machine,
                 start,
-                fetch: slot.fetch,
+                fetch: slots.fetch,
                 end,
             };
-            self.place(job, &placement);
+            self.place(job, &placement, slots.tasks);
         }
         let counts = &self.forecast.jobs[job];
         self.last_gang_lateness = Lateness {
@@ -396,9 +436,14 @@
     /// Records that no machine can run the remaining tasks of a limited team's array that its headroom permits.
     fn record_unplaceable(&mut self, job: usize) {
         if self.jobs[job].team.is_some() {
-            let remaining_tasks = self.remaining(job);
-            let tasks = self.limited_tasks.entry(job).or_default();
-            tasks.extend(std::iter::repeat_n(None, remaining_tasks));
+            let tasks = self.remaining(job);
+            self.limited_tasks
+                .entry(job)
+                .or_default()
+                .push(LimitedTasks {
+                    tasks,
+                    placement: None,
+                });
         }
     }
 
--- a/src/placement/forecast/beyond_headroom.rs
+++ b/src/placement/forecast/beyond_headroom.rs
@@ -13,7 +13,9 @@
 use super::super::batch_order;
 use super::super::quota_headroom::QuotaHeadroom;
 use super::super::quota_timeline::QuotaTimeline;
-use super::{Forecaster, MAX_TASKS_PER_JOB, PlacementRank, ROUNDING_TOLERANCE, TaskPlacement};
+use super::{
+    Forecaster, LimitedTasks, MAX_TASKS_PER_JOB, PlacementRank, ROUNDING_TOLERANCE, TaskPlacement,
+};
 use crate::placement::index::StartTimesId;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -91,11 +93,14 @@
     fn timelines(&self, team: usize, headroom: &QuotaHeadroom) -> TeamTimelines {
         let mut with_machines = headroom.timeline(team);
         let mut quota_alone = with_machines.clone();
-        for (job, placements) in &self.limited_tasks {
+        for (job, limited) in &self.limited_tasks {
             let job = &self.jobs[*job];
-            for placement in placements.iter().filter(|_| job.team == Some(team)) {
-                with_machines.take(&job.resources, placement.map(|placed| placed.end));
-                quota_alone.take(&job.resources, Some(run_time(job, *placement)));
+            for LimitedTasks { tasks, placement } in
+                limited.iter().filter(|_| job.team == Some(team))
+            {
+                let used = job.resources.scaled(*tasks as f64);
+                with_machines.take(&used, placement.map(|placed| placed.end));
+                quota_alone.take(&used, Some(run_time(job, *placement)));
             }
         }
         TeamTimelines {
@@ -158,10 +163,12 @@
     fn running_at(&self, job: usize, at: f64) -> RunningTasks {
         let job_snapshot = &self.jobs[job];
         let mut running = RunningTasks::default();
-        for placement in self.limited_tasks.get(&job).into_iter().flatten() {
-            running.quota_alone += u32::from(run_time(job_snapshot, *placement) > at);
+        for LimitedTasks { tasks, placement } in self.limited_tasks.get(&job).into_iter().flatten()
+        {
+            let tasks = *tasks as u32;
             let runs = |placed: TaskPlacement| placed.start <= at && placed.end > at;
-            running.with_machines += u32::from(placement.is_some_and(runs));
+            running.quota_alone += tasks * u32::from(run_time(job_snapshot, *placement) > at);
+            running.with_machines += tasks * u32::from(placement.is_some_and(runs));
         }
         running
     }
--- a/src/placement/gang.rs
+++ b/src/placement/gang.rs
@@ -1,84 +1,109 @@
 //! Gang scheduling: finds the slots on which a gang would complete first. All tasks of a gang start
-//! together, as soon as the last of them can.
+//! together, as soon as the last of them can. The cost follows the number of machines and of their free slots, and
+//! not the number of tasks: tasks that could start on a machine at the same time are handled as a group.
 
 use super::index::MachineIndex;
+use super::machine::StartGroup;
 use super::{JobSnapshot, ROUNDING_TOLERANCE};
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BinaryHeap};
 
 /// A gang that could start now waits for later slots only if it would complete earlier there by this
 /// fraction of its run time. If the gang must stay in one zone, this only holds for later slots in a zone
 /// where it could start now.
 const MIN_GAIN_TO_WAIT: f64 = 0.25;
 
-/// A slot for one task of a gang. Times are seconds from now.
+/// Slots on one machine for tasks of a gang that could start at the same time. Times are seconds from now.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct GangSlot {
+pub struct GangSlots {
     /// Index of the machine in the snapshot.
     pub machine: usize,
+    /// Number of tasks.
+    pub tasks: usize,
     /// When the capacity becomes free.
     pub start: f64,
     /// How long the machine then fetches the image.
     pub fetch: f64,
-    /// When the task would end if it did not wait for the rest of the gang.
+    /// When the tasks would end if they did not wait for the rest of the gang.
     pub end: f64,
 }
 
-/// A slot with its sort key: the earliest end, rounded to a second, then the emptiest machine. Machines
+/// Slots with their sort key: the earliest end, rounded to a second, then the emptiest machine. Machines
 /// that are reserved for a waiting gang become emptier, so the gang gets the same ones in the next cycle.
 /// Otherwise they would be filled again while other machines become free for it.
 #[derive(Debug, Clone, Copy)]
-struct RankedSlot {
+struct RankedSlots {
     end_s: u64,
     emptiness: f64,
-    /// Number of slots on the same machine that come before this one.
+    /// Number of slots on the same machine that come before these.
     slots_before: usize,
-    slot: GangSlot,
+    slots: GangSlots,
 }
 
-impl RankedSlot {
-    fn order(&self, other: &Self) -> Ordering {
+impl Ord for RankedSlots {
+    fn cmp(&self, other: &Self) -> Ordering {
         self.end_s
             .cmp(&other.end_s)
             .then(other.emptiness.total_cmp(&self.emptiness))
-            .then(self.slot.machine.cmp(&other.slot.machine))
+            .then(self.slots.machine.cmp(&other.slots.machine))
             .then(self.slots_before.cmp(&other.slots_before))
     }
 }
 
-/// The best slots of a zone, sorted; at most as many as the gang may use there.
+impl PartialOrd for RankedSlots {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for RankedSlots {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for RankedSlots {}
+
+/// The best slots of a zone, at least as many as the gang may use there if there are so many. The heap yields the
+/// worst ones first.
 #[derive(Debug, Default)]
-struct BestSlots(Vec<RankedSlot>);
+struct BestSlots {
+    ranked: BinaryHeap<RankedSlots>,
+    tasks: usize,
+}
 
 impl BestSlots {
-    fn insert(&mut self, ranked: RankedSlot, max_slots: usize) {
-        let is_full = self.0.len() >= max_slots;
-        if is_full && self.0.last().is_none_or(|l| l.order(&ranked).is_le()) {
+    fn insert(&mut self, ranked: RankedSlots, max_tasks: usize) {
+        let is_full = self.tasks >= max_tasks;
+        if is_full && self.ranked.peek().is_none_or(|worst| *worst <= ranked) {
             return;
         }
-        if is_full {
-            self.0.pop();
+        self.tasks += ranked.slots.tasks;
+        self.ranked.push(ranked);
+        while let Some(worst) = self.ranked.peek()
+            && self.tasks - worst.slots.tasks >= max_tasks
+        {
+            self.tasks -= worst.slots.tasks;
+            self.ranked.pop();
         }
-        let position = self.0.partition_point(|p| p.order(&ranked).is_le());
-        self.0.insert(position, ranked);
     }
 
-    fn sort(&mut self) {
-        self.0.sort_by(RankedSlot::order);
+    /// The slots, best first, for at most `max_tasks` tasks.
+    fn into_sorted(self, max_tasks: usize) -> Vec<RankedSlots> {
+        take_tasks(self.ranked.into_sorted_vec(), max_tasks)
     }
+}
 
-    /// The gang's placement on the first slots, if there are enough.
-    fn placement(&self, size: usize) -> Option<GangPlacement> {
-        let slots: Vec<GangSlot> = self.0.iter().take(size).map(|r| r.slot).collect();
-        if slots.len() < size {
-            return None;
-        }
-        // All tasks wait for the last slot and the longest fetch, and the gang ends with its slowest task.
-        let max = |of: fn(&GangSlot) -> f64| slots.iter().map(of).fold(0.0, f64::max);
-        let start = max(|slot| slot.start) + max(|slot| slot.fetch);
-        let end = start + max(|slot| slot.end - slot.start - slot.fetch);
-        Some(GangPlacement { end, slots })
+/// The first of the slots, for at most `max_tasks` tasks.
+fn take_tasks(mut ranked: Vec<RankedSlots>, max_tasks: usize) -> Vec<RankedSlots> {
+    let mut tasks_left = max_tasks;
+    for ranked in &mut ranked {
+        let slots = &mut ranked.slots;
+        slots.tasks = slots.tasks.min(tasks_left);
+        tasks_left -= slots.tasks;
     }
+    ranked.retain(|ranked| ranked.slots.tasks > 0);
+    ranked
 }
 
 /// The best slots of a zone: among those that are free now, and among all.
@@ -88,16 +113,32 @@
     any_time: BestSlots,
 }
 
+/// The same, each sorted.
+#[derive(Debug, Default)]
+struct SortedSlots {
+    at_once: Vec<RankedSlots>,
+    any_time: Vec<RankedSlots>,
+}
+
 impl ZoneSlots {
+    fn into_sorted(self, max_tasks: usize) -> SortedSlots {
+        SortedSlots {
+            at_once: self.at_once.into_sorted(max_tasks),
+            any_time: self.any_time.into_sorted(max_tasks),
+        }
+    }
+}
+
+impl SortedSlots {
     fn merge(mut self, other: Self) -> Self {
-        self.at_once.0.extend(other.at_once.0);
-        self.any_time.0.extend(other.any_time.0);
+        self.at_once.extend(other.at_once);
+        self.any_time.extend(other.any_time);
         self
     }
 
     fn sort(mut self) -> Self {
-        self.at_once.sort();
-        self.any_time.sort();
+        self.at_once.sort_unstable();
+        self.any_time.sort_unstable();
         self
     }
 }
@@ -105,7 +146,23 @@
 /// Slots for a whole gang, and when it would end there.
 struct GangPlacement {
     end: f64,
-    slots: Vec<GangSlot>,
+    slots: Vec<GangSlots>,
+}
+
+impl GangPlacement {
+    /// The placement of a gang on the first of these slots, if there are enough.
+    fn on_first(ranked: Vec<RankedSlots>, size: usize) -> Option<Self> {
+        let ranked = take_tasks(ranked, size);
+        let slots: Vec<GangSlots> = ranked.into_iter().map(|ranked| ranked.slots).collect();
+        if slots.iter().map(|slots| slots.tasks).sum::<usize>() < size {
+            return None;
+        }
+        // All tasks wait for the last slot and the longest fetch, and the gang ends with its slowest task.
+        let max = |of: fn(&GangSlots) -> f64| slots.iter().map(of).fold(0.0, f64::max);
+        let start = max(|slots| slots.start) + max(|slots| slots.fetch);
+        let end = start + max(|slots| slots.end - slots.start - slots.fetch);
+        Some(Self { end, slots })
+    }
 }
 
 /// The slots on which `size` tasks of the job would complete first if they start together; `None` if there
@@ -115,12 +172,14 @@
     size: usize,
     machines: &mut MachineIndex,
     machines_examined: &mut u64,
-) -> Option<Vec<GangSlot>> {
-    let zones = slots_by_zone(job, size, machines, machines_examined).into_values();
-    let choices: Vec<ZoneSlots> = if job.one_zone {
+) -> Option<Vec<GangSlots>> {
+    let max_in_zone = size.min(job.most_in_zone as usize);
+    let zones = slots_by_zone(job, max_in_zone, machines, machines_examined).into_values();
+    let zones = zones.map(|zone| zone.into_sorted(max_in_zone));
+    let choices: Vec<SortedSlots> = if job.one_zone {
         zones.collect()
     } else {
-        vec![zones.reduce(ZoneSlots::merge)?.sort()]
+        vec![zones.reduce(SortedSlots::merge)?.sort()]
     };
     let mut best: Option<GangPlacement> = None;
     let mut consider = |placement: Option<GangPlacement>, penalty: f64| {
@@ -135,53 +194,71 @@
     for choice in choices {
         // Slots that are free now are preferred even if later ones would complete a little earlier: a
         // gang that always waits for slightly better slots never starts.
-        let at_once = choice.at_once.placement(size);
+        let at_once = GangPlacement::on_first(choice.at_once, size);
         let penalty = if at_once.is_some() {
             job.duration * MIN_GAIN_TO_WAIT
         } else {
             0.0
         };
         consider(at_once, 0.0);
-        consider(choice.any_time.placement(size), penalty);
+        consider(GangPlacement::on_first(choice.any_time, size), penalty);
     }
     best.map(|placement| placement.slots)
 }
 
-/// The best slots of each zone, at most as many as the zone may hold of the gang's tasks.
+/// The best slots of each zone, for at least `max_in_zone` tasks if there are so many.
 fn slots_by_zone(
     job: &JobSnapshot,
-    size: usize,
+    max_in_zone: usize,
     machines: &mut MachineIndex,
     machines_examined: &mut u64,
 ) -> BTreeMap<u32, ZoneSlots> {
-    let max_slots = size.min(job.most_in_zone as usize);
-    let start_times = machines.start_times(&job.resources, size);
+    let start_times = if max_in_zone > 1 {
+        machines.start_times_of_groups(&job.resources)
+    } else {
+        machines.start_times(&job.resources)
+    };
     let machines = &*machines;
     let mut zones: BTreeMap<u32, ZoneSlots> = BTreeMap::new();
     let times = machines.task_times(job);
     for machine in machines.usable(job) {
         *machines_examined += 1;
         let fetch = times.fetch(machine);
-        for (slots_before, id) in start_times.iter().enumerate() {
-            let Some(start) = machines.start(*id, machine) else {
-                break;
-            };
-            let end = start + fetch + times.run(machine);
-            let ranked = RankedSlot {
+        let run = times.run(machine);
+        let mut add = |group: StartGroup, slots_before: usize| {
+            let end = group.start + fetch + run;
+            let ranked = RankedSlots {
                 end_s: end.round() as u64,
                 emptiness: machines.emptiness(machine),
                 slots_before,
-                slot: GangSlot {
+                slots: GangSlots {
                     machine,
-                    start,
+                    tasks: group.tasks,
+                    start: group.start,
                     fetch,
                     end,
                 },
             };
             let zone_slots = zones.entry(machines.zone(machine)).or_default();
-            zone_slots.any_time.insert(ranked, max_slots);
-            if start <= ROUNDING_TOLERANCE {
-                zone_slots.at_once.insert(ranked, max_slots);
+            zone_slots.any_time.insert(ranked, max_in_zone);
+            if group.start <= ROUNDING_TOLERANCE {
+                zone_slots.at_once.insert(ranked, max_in_zone);
+            }
+        };
+        let Some(start) = machines.start(start_times, machine) else {
+            continue;
+        };
+        if max_in_zone == 1 {
+            add(StartGroup { start, tasks: 1 }, 0);
+            continue;
+        }
+        let mut slots_before = 0;
+        for group in machines.start_groups(start_times, machine) {
+            let tasks = group.tasks.min(max_in_zone - slots_before);
+            add(StartGroup { tasks, ..*group }, slots_before);
+            slots_before += tasks;
+            if slots_before == max_in_zone {
+                break;
             }
         }
     }
--- a/src/placement/index.rs
+++ b/src/placement/index.rs
@@ -2,10 +2,11 @@
 //! the job may use. The index caches, for each machine, the earliest start of a request and the machine's
 //! emptiness until the machine changes.
 
+use super::machine::StartGroup;
 use super::{
     FreeSlot, JobSnapshot, MIN_FETCH_GB_PER_S, MachineSnapshot, PoolId, Reservation, Resources,
 };
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::collections::HashMap;
 
 /// The machines of one pool. They are equal in machine type, zone and whether they are spot machines, which is
@@ -95,19 +96,18 @@
 struct StartTimes {
     resources: Resources,
     times: Vec<Cell<f64>>,
+    /// By machine, the groups of such tasks that could start together; empty unless a gang needed them.
+    groups: Vec<OnceCell<Box<[StartGroup]>>>,
 }
 
 /// Identifies the start times of one request. Valid until the next call of [`MachineIndex::start_times`].
 #[derive(Debug, Clone, Copy)]
 pub struct StartTimesId(usize);
 
-/// The cached start times are cleared before a call would let them exceed this many requests, because each request
-/// takes eight bytes per machine. Only a single call for more multiples than this exceeds it.
+/// The cached start times are cleared before they would exceed this many requests, because each request takes eight
+/// bytes per machine.
 const MAX_CACHED_REQUESTS: usize = 32;
 
-/// Upper bound on what accumulated rounding errors add to a machine's free capacity during one packing.
-const MAX_ROUNDING_ERROR: f64 = 0.01;
-
 /// The machines of one packing or forecast.
 #[derive(Debug)]
 pub struct MachineIndex<'a> {
@@ -119,8 +119,6 @@
     /// By machine; NaN means not computed yet.
     emptiness: Vec<Cell<f64>>,
     start_times: Vec<StartTimes>,
-    /// The largest capacity of any machine, by resource.
-    largest_capacity: Resources,
     /// Free slots and cached requests that were examined: a measure of the cost.
     slots_examined: Cell<u64>,
 }
@@ -130,17 +128,10 @@
     pub fn new(machines: &'a mut [MachineSnapshot]) -> Self {
         let mut pools: Vec<PoolMembers> = Vec::new();
         let mut images: HashMap<u32, MachineSet> = HashMap::new();
-        let mut largest_capacity = Resources::default();
         for (index, machine) in machines.iter().enumerate() {
             for image in &machine.images {
                 images.entry(*image).or_default().insert(index);
             }
-            let available = machine.free_at(f64::INFINITY);
-            largest_capacity = Resources {
-                cpus: largest_capacity.cpus.max(available.cpus),
-                gpus: largest_capacity.gpus.max(available.gpus),
-                memory_gb: largest_capacity.memory_gb.max(available.memory_gb),
-            };
             let pool = machine.pool();
             match pools.iter_mut().find(|existing| existing.pool == pool) {
                 Some(existing) => existing.members.push(index),
@@ -158,7 +149,6 @@
             machines,
             pools,
             start_times: Vec::new(),
-            largest_capacity,
             slots_examined: Cell::new(0),
         }
     }
@@ -242,45 +232,56 @@
         }
     }
 
-    /// The start times of each multiple of a request from 1 to `count`. Multiples that exceed the largest capacity
-    /// of any machine are left out, but the request itself is always included.
-    pub fn start_times(&mut self, resources: &Resources, count: usize) -> Vec<StartTimesId> {
-        if self.start_times.len() + count > MAX_CACHED_REQUESTS {
-            self.start_times.clear();
+    /// The start times of a request.
+    pub fn start_times(&mut self, resources: &Resources) -> StartTimesId {
+        self.count_slots(self.start_times.len());
+        let mut cached = self.start_times.iter();
+        if let Some(position) = cached.position(|s| s.resources == *resources) {
+            return StartTimesId(position);
         }
-        let mut found = Vec::new();
-        let mut all = Resources::default();
-        for _ in 0..count {
-            all.add(resources);
-            if !found.is_empty() && !self.may_ever_accommodate(&all) {
-                break;
-            }
-            found.push(self.start_times_of(&all));
+        if self.start_times.len() >= MAX_CACHED_REQUESTS {
+            self.start_times.clear();
         }
-        found
+        self.start_times.push(StartTimes {
+            resources: *resources,
+            times: vec![Cell::new(f64::NAN); self.machines.len()],
+            groups: Vec::new(),
+        });
+        StartTimesId(self.start_times.len() - 1)
     }
 
-    /// Whether a request is within the largest capacity of each resource.
-    fn may_ever_accommodate(&self, resources: &Resources) -> bool {
-        resources.cpus <= self.largest_capacity.cpus + MAX_ROUNDING_ERROR
-            && resources.gpus <= self.largest_capacity.gpus + MAX_ROUNDING_ERROR
-            && resources.memory_gb <= self.largest_capacity.memory_gb + MAX_ROUNDING_ERROR
+    /// The start times of a request, for which [`MachineIndex::start_groups`] may be called.
+    pub fn start_times_of_groups(&mut self, resources: &Resources) -> StartTimesId {
+        let id = self.start_times(resources);
+        let machines = self.machines.len();
+        let groups = &mut self.start_times[id.0].groups;
+        groups.resize_with(machines, OnceCell::new);
+        id
     }
 
-    fn start_times_of(&mut self, resources: &Resources) -> StartTimesId {
-        self.count_slots(self.start_times.len());
-        let position = self
-            .start_times
-            .iter()
-            .position(|s| s.resources == *resources);
-        let id = position.unwrap_or_else(|| {
-            self.start_times.push(StartTimes {
-                resources: *resources,
-                times: vec![Cell::new(f64::NAN); self.machines.len()],
-            });
-            self.start_times.len() - 1
-        });
-        StartTimesId(id)
+    /// The groups of tasks that could start together on a machine, beside all reservations there.
+    pub fn start_groups(&self, id: StartTimesId, machine: usize) -> &[StartGroup] {
+        let StartTimes {
+            resources, groups, ..
+        } = &self.start_times[id.0];
+        groups[machine].get_or_init(|| {
+            let machine = &self.machines[machine];
+            self.count_slots(machine.free_slots.len());
+            machine.start_groups(resources).into()
+        })
+    }
+
+    /// How many tasks could start on a machine at `start`, at most `max_tasks`, beside all reservations there.
+    pub fn tasks_starting_at(
+        &self,
+        machine: usize,
+        resources: &Resources,
+        start: f64,
+        max_tasks: usize,
+    ) -> usize {
+        let machine = &self.machines[machine];
+        self.count_slots(machine.free_slots.len());
+        machine.tasks_starting_at(resources, start, max_tasks)
     }
 
     /// The earliest start of the request on a machine, beside all reservations there; `None` if there is none.
@@ -304,7 +305,7 @@
         cached.get()
     }
 
-    /// Takes capacity on a machine for a task from `start` to `end`.
+    /// Takes capacity on a machine for tasks from `start` to `end`.
     pub fn occupy(&mut self, machine: usize, resources: &Resources, start: f64, end: f64) {
         self.count_slots(self.machines[machine].free_slots.len());
         self.machines[machine].occupy(resources, start, end);
@@ -346,10 +347,13 @@
     }
 
     /// Clears the cached values of a machine that changed.
-    fn invalidate(&self, machine: usize) {
+    fn invalidate(&mut self, machine: usize) {
         self.emptiness[machine].set(f64::NAN);
-        for start_times in &self.start_times {
+        for start_times in &mut self.start_times {
             start_times.times[machine].set(f64::NAN);
+            if let Some(groups) = start_times.groups.get_mut(machine) {
+                groups.take();
+            }
         }
     }
 }
--- a/src/placement/index/tests.rs
+++ b/src/placement/index/tests.rs
@@ -157,7 +157,10 @@
             let expected = reference::gang_slots(&gang, size, index.machines());
             let found = gang_slots(&gang, size, &mut index, &mut 0);
             let found = found.map(|slots| -> Vec<(usize, f64)> {
-                slots.iter().map(|p| (p.machine, p.start)).collect()
+                let each_task = slots
+                    .iter()
+                    .flat_map(|p| std::iter::repeat_n((p.machine, p.start), p.tasks));
+                each_task.collect()
             });
             assert_eq!(found, expected, "{gang:?}\n{:?}", index.machines());
             let Some(slots) = found else {
@@ -194,7 +197,7 @@
             cpus: f64::from(tenths) / 10.0,
             ..Resources::default()
         };
-        let id = index.start_times(&resources, 1)[0];
+        let id = index.start_times(&resources);
         let expected = |at: f64, available: f64| {
             (resources.cpus <= available + ROUNDING_TOLERANCE).then_some(at)
         };
--- a/src/placement/job.rs
+++ b/src/placement/job.rs
@@ -3,6 +3,7 @@
 
 use super::machine::MachineSnapshot;
 use super::resources::Resources;
+use super::task_ranges::TaskRanges;
 use crate::jobs::Urgency;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
@@ -57,7 +58,7 @@
     /// Tasks that are on machines now, by zone.
     pub zones: TasksByZone,
     /// Indices of the tasks that wait.
-    pub waiting: Arc<Vec<u32>>,
+    pub waiting: Arc<TaskRanges>,
     /// Number of tasks that were started or are done; they count towards the startup tasks.
     pub started: u32,
     /// When it was submitted or released by its dependencies; zero or negative.
@@ -114,6 +115,14 @@
             && (self.avoid.is_empty() || !self.avoid.contains(&*machine.name))
     }
 
+    /// How many more of its tasks may run in a zone if `zones` are those of its other tasks.
+    pub(super) fn tasks_addable_in_zone(&self, zones: &TasksByZone, zone: u32) -> usize {
+        if !self.may_add_in_zone(zones, zone) {
+            return 0;
+        }
+        (self.most_in_zone - zones.get(&zone).copied().unwrap_or(0)) as usize
+    }
+
     /// Whether one more of its tasks may run in a zone if `zones` are those of its other tasks.
     pub(super) fn may_add_in_zone(&self, zones: &TasksByZone, zone: u32) -> bool {
         let is_elsewhere = zones
--- a/src/placement/job_progress.rs
+++ b/src/placement/job_progress.rs
@@ -2,10 +2,12 @@
 //! the parts of a job's snapshot that only change with its records and planned changes.
 
 use super::snapshot::eligible_machine_types;
-use super::{NameTable, TasksByZone, capacity_of};
+use super::{NameTable, TaskRanges, TasksByZone, capacity_of};
+use crate::jobs::pending_changes::JobChanges;
 use crate::jobs::{JobSpec, TaskRecord};
 use crate::node::Core;
 use crate::state::replica::Job;
+use std::ops::Range;
 use std::sync::Arc;
 
 /// Most waiting tasks of an array that a snapshot holds. A snapshot holds all waiting tasks of a gang, because a
@@ -19,7 +21,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct JobProgress {
     /// Indices of the waiting tasks; of an array, at most `MAX_WAITING_OF_ARRAY`.
-    pub waiting: Arc<Vec<u32>>,
+    pub waiting: Arc<TaskRanges>,
     /// Number of completed tasks.
     pub done: u32,
     /// Number of tasks on machines.
@@ -75,26 +77,21 @@
         } else {
             MAX_WAITING_OF_ARRAY
         };
-        let mut waiting = Vec::new();
-        let planned = core.pending_changes.of_job(&spec.id);
-        for task in 0..spec.tasks {
-            let planned = planned.and_then(|changes| changes.get(&task));
-            match planned.unwrap_or_else(|| job.task_record(&core.replica.layout, task)) {
-                TaskRecord::Waiting { .. } if waiting.len() < max_waiting => waiting.push(task),
-                TaskRecord::Waiting { .. } => {}
-                TaskRecord::Done => self.done += 1,
-                TaskRecord::Placed { machine, .. } => {
-                    self.placed += 1;
-                    if let Some(machine) = core.replica.fleet.machines.get(machine) {
-                        *self
-                            .zones
-                            .entry(names.intern(&machine.pool.zone))
-                            .or_default() += 1;
-                    }
-                }
+        let mut counter = TaskCounter {
+            core,
+            names,
+            planned: core.pending_changes.of_job(&spec.id),
+            max_waiting,
+            waiting: TaskRanges::default(),
+            progress: self,
+        };
+        for segment in job.segments(&core.replica.layout) {
+            for (task, record) in segment.recorded() {
+                counter.add_recorded(task, record);
             }
+            counter.add_never_started(segment.never_started());
         }
-        self.waiting = Arc::new(waiting);
+        self.waiting = Arc::new(counter.waiting);
     }
 
     fn set_requirements(&mut self, core: &Core, names: &mut NameTable, spec: &JobSpec) {
@@ -116,6 +113,58 @@
     }
 }
 
+/// Counts the tasks of a job, with planned changes in place of the records.
+struct TaskCounter<'a> {
+    core: &'a Core,
+    names: &'a mut NameTable,
+    planned: Option<&'a JobChanges>,
+    max_waiting: usize,
+    waiting: TaskRanges,
+    progress: &'a mut JobProgress,
+}
+
+impl TaskCounter<'_> {
+    fn add_recorded(&mut self, task: u32, record: &TaskRecord) {
+        let planned = self.planned.and_then(|changes| changes.get(&task));
+        self.add(task, planned.unwrap_or(record));
+    }
+
+    /// Adds tasks without records. The cost follows the number of planned changes among them.
+    fn add_never_started(&mut self, tasks: Range<u32>) {
+        let mut first = tasks.start;
+        if let Some(planned) = self.planned.filter(|_| !tasks.is_empty()) {
+            for (task, change) in planned.range(tasks.clone()) {
+                self.add_waiting(first..*task);
+                self.add(*task, change);
+                first = *task + 1;
+            }
+        }
+        self.add_waiting(first..tasks.end);
+    }
+
+    fn add(&mut self, task: u32, record: &TaskRecord) {
+        match record {
+            TaskRecord::Waiting { .. } => self.add_waiting(task..task + 1),
+            TaskRecord::Done => self.progress.done += 1,
+            TaskRecord::Placed { machine, .. } => self.add_placed(machine),
+        }
+    }
+
+    fn add_waiting(&mut self, tasks: Range<u32>) {
+        let room = self.max_waiting - self.waiting.len();
+        let count = tasks.len().min(room) as u32;
+        self.waiting.push(tasks.start..tasks.start + count);
+    }
+
+    fn add_placed(&mut self, machine: &str) {
+        self.progress.placed += 1;
+        if let Some(machine) = self.core.replica.fleet.machines.get(machine) {
+            let zone = self.names.intern(&machine.pool.zone);
+            *self.progress.zones.entry(zone).or_default() += 1;
+        }
+    }
+}
+
 /// The dominant share of a task on a machine type; `None` if the cloud's catalogue does not have the type.
 fn dominant_share(core: &Core, spec: &JobSpec, machine_type: &str) -> Option<f64> {
     let machine_type = core.machine_type(machine_type)?;
--- a/src/placement/machine.rs
+++ b/src/placement/machine.rs
@@ -19,12 +19,24 @@
 pub struct Reservation {
     /// Seconds from now.
     pub at: f64,
-    /// What one task of the job requests.
+    /// What the tasks of the job that are to start here request together.
     pub resources: Resources,
     /// Index of the job in the snapshot.
     pub job: usize,
 }
 
+/// Upper bound of a group's size, for tasks that request nothing. It exceeds the number of tasks of any job.
+const MAX_GROUP_TASKS: usize = u32::MAX as usize;
+
+/// Tasks of one job that could start on a machine at the same time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct StartGroup {
+    /// Seconds from now.
+    pub start: f64,
+    /// Number of tasks.
+    pub tasks: usize,
+}
+
 /// One machine of this controller.
 #[derive(Debug, Clone)]
 pub struct MachineSnapshot {
@@ -108,12 +120,74 @@
             && resources.cpus + kept_cpus <= available.cpus + ROUNDING_TOLERANCE
     }
 
-    /// The earliest time at which a task fits in addition to all reservations; `None` if it never does.
-    pub(super) fn earliest_start(&self, resources: &Resources) -> Option<f64> {
+    /// How many tasks of this size fit into `available` together, at most `max_tasks`.
+    pub(super) fn tasks_accommodated(
+        &self,
+        resources: &Resources,
+        available: &Resources,
+        max_tasks: usize,
+    ) -> usize {
+        let kept_cpus = if resources.gpus == 0.0 {
+            (available.gpus * self.cpus_per_gpu).max(0.0)
+        } else {
+            0.0
+        };
+        let unkept = Resources {
+            cpus: available.cpus - kept_cpus,
+            ..*available
+        };
+        resources.tasks_in(&unkept, max_tasks)
+    }
+
+    /// The groups of tasks of this size that could start together, in addition to all reservations. A group starts
+    /// when more tasks fit than before; the groups are ordered by their start.
+    pub(super) fn start_groups(&self, resources: &Resources) -> Vec<StartGroup> {
+        let mut available = self.without_reservations();
+        let mut groups = Vec::new();
+        let mut fitting = 0;
+        for slot in &self.free_slots {
+            available.add(&slot.available);
+            if !self.accommodates(&resources.scaled((fitting + 1) as f64), &available) {
+                continue;
+            }
+            let fitting_now = self.tasks_accommodated(resources, &available, MAX_GROUP_TASKS);
+            if fitting_now > fitting {
+                groups.push(StartGroup {
+                    start: slot.at,
+                    tasks: fitting_now - fitting,
+                });
+                fitting = fitting_now;
+            }
+        }
+        groups
+    }
+
+    /// How many tasks of this size could start at `start` in addition to all reservations, at most `max_tasks`.
+    pub(super) fn tasks_starting_at(
+        &self,
+        resources: &Resources,
+        start: f64,
+        max_tasks: usize,
+    ) -> usize {
+        let mut available = self.without_reservations();
+        for slot in self.free_slots.iter().take_while(|slot| slot.at <= start) {
+            available.add(&slot.available);
+        }
+        self.tasks_accommodated(resources, &available, max_tasks)
+    }
+
+    /// The negative of what is reserved, to which the free slots are added.
+    fn without_reservations(&self) -> Resources {
         let mut available = Resources::default();
         for reservation in &self.reservations {
             available.sub(&reservation.resources);
         }
+        available
+    }
+
+    /// The earliest time at which a task fits in addition to all reservations; `None` if it never does.
+    pub(super) fn earliest_start(&self, resources: &Resources) -> Option<f64> {
+        let mut available = self.without_reservations();
         for slot in &self.free_slots {
             available.add(&slot.available);
             if self.accommodates(resources, &available) {
@@ -139,8 +213,9 @@
         })
     }
 
-    /// Takes capacity for a task from `start` to `end`. Among the slots that are free by `start`, it is taken
-    /// from the latest ones, so that earlier ones remain for other tasks.
+    /// Takes capacity for tasks from `start` to `end`. Among the slots that are free by `start`, it is taken
+    /// from the latest ones, so that earlier ones remain for other tasks. What is released at the same time forms
+    /// one slot, so that the number of slots does not grow with the number of tasks.
     pub(super) fn occupy(&mut self, resources: &Resources, start: f64, end: f64) {
         let mut wanted = *resources;
         for slot in self.free_slots.iter_mut().rev() {
@@ -150,6 +225,13 @@
         }
         self.free_slots.retain(|slot| !slot.available.is_empty());
         let position = self.free_slots.partition_point(|slot| slot.at <= end);
+        let earlier = position
+            .checked_sub(1)
+            .map(|last| &mut self.free_slots[last]);
+        if let Some(slot) = earlier.filter(|slot| slot.at == end) {
+            slot.available.add(resources);
+            return;
+        }
         let released = FreeSlot {
             at: end,
             available: *resources,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -34,6 +34,7 @@
 pub mod service;
 pub mod snapshot;
 pub mod snapshot_cache;
+mod task_ranges;
 mod team_usage;
 
 pub use job::{JobSnapshot, Milestone, PoolId, TasksByZone};
@@ -42,6 +43,7 @@
 pub use name_table::NameTable;
 pub use queue::batch_order;
 pub use resources::{Resources, capacity_of};
+pub use task_ranges::TaskRanges;
 
 use machine::MIN_FETCH_GB_PER_S;
 use resources::ROUNDING_TOLERANCE;
@@ -62,6 +64,8 @@
     pub machine: usize,
 }
 
+#[cfg(test)]
+mod growth_tests;
 #[cfg(test)]
 mod scale_tests;
 #[cfg(test)]
--- a/src/placement/packing/mod.rs
+++ b/src/placement/packing/mod.rs
@@ -192,22 +192,25 @@
             && !self.may_reserve(job)
     }
 
-    /// Plans the start of the job's next task.
-    fn start(&mut self, job: usize, candidate: &Candidate) {
+    /// Plans the start of the job's next `tasks` tasks on one machine.
+    fn start(&mut self, job: usize, candidate: &Candidate, tasks: usize) {
         let snapshot = &self.jobs[job];
         let progress = &mut self.progress[job];
-        let task = snapshot.waiting[progress.next_task];
-        progress.next_task += 1;
-        progress.started += 1;
-        self.headroom.take(snapshot, 1);
         let machine = candidate.machine;
+        let positions = progress.next_task..progress.next_task + tasks;
+        let started = positions.filter_map(|position| snapshot.waiting.get(position));
+        let starts = started.map(|task| Start { job, task, machine });
+        self.result.starts.extend(starts);
+        progress.next_task += tasks;
+        progress.started += tasks as u32;
+        self.headroom.take(snapshot, tasks);
         let zone = self.machines.zone(machine);
-        *progress.zones.entry(zone).or_default() += 1;
+        *progress.zones.entry(zone).or_default() += tasks as u32;
         let end = candidate.end.max(MIN_RUN_S);
-        self.machines.occupy(machine, &snapshot.resources, 0.0, end);
+        let requested = snapshot.resources.scaled(tasks as f64);
+        self.machines.occupy(machine, &requested, 0.0, end);
         self.machines.use_image(machine, snapshot.image);
-        self.free[machine].sub(&snapshot.resources);
-        self.result.starts.push(Start { job, task, machine });
+        self.free[machine].sub(&requested);
     }
 
     /// Plans the start of as many of a job's tasks as there is capacity for, at most `max_tasks`.
@@ -220,7 +223,7 @@
         }
         for candidate in self.candidates(job) {
             while wanted > 0 && self.still_fits(job, &candidate) {
-                self.start(job, &candidate);
+                self.start(job, &candidate, 1);
                 wanted -= 1;
             }
             if wanted == 0 {
--- a/src/placement/packing/reserving.rs
+++ b/src/placement/packing/reserving.rs
@@ -3,7 +3,7 @@
 
 use super::candidates::Candidate;
 use super::{Packer, Unplaced};
-use crate::placement::gang::{GangSlot, gang_slots};
+use crate::placement::gang::{GangSlots, gang_slots};
 use crate::placement::{JobSnapshot, Milestone, ROUNDING_TOLERANCE, Reservation};
 
 /// Largest fraction of the machines that one packing reserves for work that waits for capacity, where each
@@ -29,7 +29,7 @@
 
 /// Slots for all tasks that start together, and when the last of them becomes free.
 struct Placement {
-    slots: Vec<GangSlot>,
+    slots: Vec<GangSlots>,
     start: f64,
 }
 
@@ -100,11 +100,11 @@
 
     /// Whether an array's rules on zones permit the slots, given the zones of its other tasks. For a gang,
     /// whose tasks all start together, `gang_slots` has applied the rules.
-    fn zones_allow(&self, job: usize, slots: &[GangSlot]) -> bool {
+    fn zones_allow(&self, job: usize, slots: &[GangSlots]) -> bool {
         let snapshot = &self.jobs[job];
         let zones = &self.progress[job].zones;
         let allows =
-            |slot: &GangSlot| snapshot.may_add_in_zone(zones, self.machines.zone(slot.machine));
+            |slot: &GangSlots| snapshot.may_add_in_zone(zones, self.machines.zone(slot.machine));
         snapshot.gang || slots.iter().all(allows)
     }
 
@@ -147,14 +147,14 @@
             .is_some_and(|team| self.teams_looked_ahead.insert(team))
     }
 
-    fn start_all(&mut self, job: usize, slots: Vec<GangSlot>) {
+    fn start_all(&mut self, job: usize, slots: Vec<GangSlots>) {
         for slot in slots {
             let candidate = Candidate {
                 machine: slot.machine,
                 fetch: slot.fetch,
                 end: slot.end,
             };
-            self.start(job, &candidate);
+            self.start(job, &candidate, slot.tasks);
         }
     }
 
@@ -184,7 +184,7 @@
         for slot in placement.slots {
             let reservation = Reservation {
                 at: placement.start,
-                resources: self.jobs[job].resources,
+                resources: self.jobs[job].resources.scaled(slot.tasks as f64),
                 job,
             };
             self.machines.reserve(slot.machine, reservation);
--- a/src/placement/resources.rs
+++ b/src/placement/resources.rs
@@ -25,6 +25,24 @@
             && self.memory_gb <= available.memory_gb + ROUNDING_TOLERANCE
     }
 
+    /// How many requests of this size `available` covers, at most `max`.
+    pub(super) fn tasks_in(&self, available: &Resources, max: usize) -> usize {
+        let count = |requested: f64, available: f64| {
+            let available = available + ROUNDING_TOLERANCE;
+            if available < 0.0 {
+                0
+            } else if requested > 0.0 {
+                (available / requested) as usize
+            } else {
+                max
+            }
+        };
+        count(self.cpus, available.cpus)
+            .min(count(self.gpus, available.gpus))
+            .min(count(self.memory_gb, available.memory_gb))
+            .min(max)
+    }
+
     /// Adds each amount of `other`.
     pub fn add(&mut self, other: &Resources) {
         self.cpus += other.cpus;
--- a/src/placement/service/starts.rs
+++ b/src/placement/service/starts.rs
@@ -60,7 +60,7 @@
         let id = TaskId::new(&snapshot.jobs[start.job].id, start.task);
         let attempt = match gang_attempts.get(&start.job) {
             Some(attempt) => *attempt,
-            None => next_attempt(core, &id.job, &[id.index]),
+            None => next_attempt(core, &id.job, std::iter::once(id.index)),
         };
         plan_start(core, &id, attempt, &snapshot.machines[start.machine].name);
     }
@@ -90,7 +90,7 @@
         if job.gang {
             attempts
                 .entry(start.job)
-                .or_insert_with(|| next_attempt(core, &job.id, &job.waiting));
+                .or_insert_with(|| next_attempt(core, &job.id, job.waiting.iter()));
         }
     }
     attempts
@@ -98,10 +98,8 @@
 
 /// The next attempt number: greater than those of all attempts of these tasks and than
 /// `JobRecord::attempt_floor`.
-fn next_attempt(core: &Core, job: &str, tasks: &[u32]) -> u64 {
-    let last_attempts = tasks
-        .iter()
-        .map(|task| core.task_record(job, *task).last_attempt());
+fn next_attempt(core: &Core, job: &str, tasks: impl Iterator<Item = u32>) -> u64 {
+    let last_attempts = tasks.map(|task| core.task_record(job, task).last_attempt());
     let floor = core.replica.jobs.get(job);
     let floor = floor.map_or(0, |job| job.record.attempt_floor());
     last_attempts.max().unwrap_or(0).max(floor) + 1
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -195,8 +195,8 @@
         let placement = pack(&jobs, &mut self.machines, unlimited(), 2, 400);
         for start in &placement.starts {
             let job = &mut self.jobs[start.job];
-            let waiting = job.0.waiting.iter().filter(|t| **t != start.task);
-            job.0.waiting = Arc::new(waiting.copied().collect());
+            let waiting = job.0.waiting.iter().filter(|t| *t != start.task);
+            job.0.waiting = Arc::new(waiting.collect());
             if job.0.started == 0 {
                 self.started.push((job.0.id.clone(), now - job.1));
             }
--- a/src/state/replica/jobs.rs
+++ b/src/state/replica/jobs.rs
@@ -110,12 +110,9 @@
                 job.pages.insert(page, orphan);
             }
         }
-        if !job.pages.is_empty() {
-            for task in 0..job.record.spec.tasks {
-                let record = job.task_record(&self.layout, task).clone();
-                job.update_counts(&TaskRecord::NEVER_STARTED, &record);
-                self.index_task(id, task, &TaskRecord::NEVER_STARTED, &record);
-            }
+        for (task, record) in job.recorded_tasks(&self.layout) {
+            job.update_counts(&TaskRecord::NEVER_STARTED, &record);
+            self.index_task(id, task, &TaskRecord::NEVER_STARTED, &record);
         }
         self.jobs.insert(id.to_owned(), job);
     }
@@ -184,9 +181,8 @@
         let Some(job) = self.jobs.remove(id) else {
             return;
         };
-        for task in 0..job.record.spec.tasks {
-            let record = job.task_record(&self.layout, task);
-            self.index_task(id, task, record, &TaskRecord::Done);
+        for (task, record) in job.recorded_tasks(&self.layout) {
+            self.index_task(id, task, &record, &TaskRecord::Done);
         }
         self.changed_jobs.insert(id.to_owned());
         for (page, orphan) in job.pages {
--- a/src/state/replica/progress.rs
+++ b/src/state/replica/progress.rs
@@ -145,6 +145,10 @@
     /// Updates the index of tasks by machine for a task whose record changes from `old` to `new`. Only the tasks of
     /// open jobs are indexed.
     pub(super) fn index_task(&mut self, job: &str, task: u32, old: &TaskRecord, new: &TaskRecord) {
+        let is_placed = |record: &TaskRecord| matches!(record, TaskRecord::Placed { .. });
+        if !is_placed(old) && !is_placed(new) {
+            return;
+        }
         let id = TaskId::new(job, task);
         if let TaskRecord::Placed { machine, .. } = old {
             if let Some(tasks) = self.tasks_by_machine.get_mut(machine) {
