Plan nothing for a gang whose starts exceed one transaction

A real state service refuses such a transaction, so the gang was placed again for good; with less than that, by values or preconditions, its starts stayed pending and occupied their machines for ever.

Cause: nothing compared a gang's starts with the limits of a transaction before they were planned, and what could not be written was kept.

It is accepted and known as before. A gang whose starts turn out too large with the records of its machines is discarded and held back for 60 s. A job whose pages are held back is not placed meanwhile. A page with starts of which none fits no longer counts as complete.

Evidence: `an_array_runs_beside_gangs_that_exceed_one_transaction` and `a_gang_that_exceeds_one_transaction_is_held_back_and_leaves_its_machines`.

--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 
 mod archive;
 pub mod failures;
+pub mod gang_size;
 mod garbage_collection;
 pub mod pages;
 pub mod pending_changes;
--- a/src/jobs/pending_changes.rs
+++ b/src/jobs/pending_changes.rs
@@ -90,6 +90,7 @@
         for task in tasks {
             self.discard(&TaskId::new(job, task), &TaskRecord::default());
         }
+        self.refused_until.remove(job);
     }
 
     fn mark_changed(&mut self, id: &TaskId, recorded: &TaskRecord) {
--- a/src/jobs/writer.rs
+++ b/src/jobs/writer.rs
@@ -17,11 +17,13 @@
 use crate::pipelines;
 use crate::state::max_preconditions;
 use batch::{BatchLimits, BatchSize, WriteBatch};
-use discard::{discard_inapplicable, discard_incomplete_gangs, discard_unstartable_starts};
+use discard::{
+    discard_inapplicable, discard_incomplete_gangs, discard_unstartable_starts, hold_back_gang,
+};
 use outcome::{BatchOutcome, apply_outcome};
 use page_write::PendingPageWrite;
 use rowanmill_state::WritePriority;
-use selection::{Selection, select_page_writes};
+use selection::{SelectedWrites, Selection, select_page_writes};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -103,14 +105,23 @@
     discard_unstartable_starts(core, &node.identity);
     limits::discard_uncovered_starts(core);
     discard_incomplete_gangs(core);
+    let max_operations = node.settings.max_transaction_operations();
     let selection = Selection {
         core,
         me: &node.identity,
-        max_preconditions: max_preconditions(node.settings.max_transaction_operations()),
+        max_preconditions: max_preconditions(max_operations),
+        max_operations,
         has_ample_quota: node.state.write_headroom() >= AMPLE_WRITE_HEADROOM,
         now,
     };
-    select_page_writes(&selection)
+    let SelectedWrites {
+        writes,
+        oversized_gangs,
+    } = select_page_writes(&selection);
+    for gang in oversized_gangs {
+        hold_back_gang(core, &gang, now);
+    }
+    writes
 }
 
 #[cfg(test)]
--- a/src/jobs/writer/discard.rs
+++ b/src/jobs/writer/discard.rs
@@ -6,6 +6,7 @@
 use crate::jobs::{TaskId, TaskRecord};
 use crate::membership::assignment::Member;
 use crate::node::Core;
+use std::time::{Duration, Instant};
 
 fn is_placed(record: &TaskRecord) -> bool {
     matches!(record, TaskRecord::Placed { .. })
@@ -33,6 +34,26 @@
     discard_changes(core, unstartable);
 }
 
+/// How long a gang is not placed again after its starts exceeded one transaction. On other machines, with shorter names
+/// or fewer rentals, they may fit.
+const OVERSIZED_GANG_RETRY_DELAY: Duration = Duration::from_secs(60);
+
+/// Discards the pending starts of a gang that cannot be written together, and holds the gang back for a while. While
+/// such starts were kept, they occupied their machines for good.
+pub(super) fn hold_back_gang(core: &mut Core, id: &str, now: Instant) {
+    let changes = core.pending_changes.of_job(id).into_iter().flatten();
+    let starts = changes.filter(|(_, change)| is_placed(change));
+    let starts: Vec<TaskId> = starts.map(|(task, _)| TaskId::new(id, *task)).collect();
+    tracing::info!(
+        job = id,
+        tasks = starts.len(),
+        "gang exceeds one transaction"
+    );
+    discard_changes(core, starts);
+    core.pending_changes
+        .hold_back_until(id, now + OVERSIZED_GANG_RETRY_DELAY);
+}
+
 /// Discards all pending starts of a gang if one of them was discarded before it was written. The other tasks would
 /// otherwise start, wait for the missing one and fail.
 pub(super) fn discard_incomplete_gangs(core: &mut Core) {
--- a/src/jobs/writer/page_write.rs
+++ b/src/jobs/writer/page_write.rs
@@ -32,6 +32,12 @@
     /// The charge for the starts, if their team's quota is divided among controllers.
     pub charge: Option<QuotaCharge>,
     pub is_gang: bool,
+}
+
+/// The result of building the write of a page.
+pub(super) struct BuiltPage {
+    /// The write with those changes that are still valid and fit; `None` if there are none.
+    pub write: Option<PendingPageWrite>,
     /// Whether all changes fit the maximum size of a value and the maximum number of preconditions.
     pub is_complete: bool,
 }
@@ -114,20 +120,23 @@
     }
 }
 
-/// The write of a page with those changes that are still valid and fit; `None` if there are none.
+/// Builds the write of a page from its pending changes.
 pub(super) fn build_page_write(
     selection: &Selection,
     target: &PageTarget,
     changes: &[(u32, &TaskRecord)],
-) -> Option<PendingPageWrite> {
+) -> BuiltPage {
     let encoding = target.encoding_preconditions(selection.core);
     let mut builder = PageWriteBuilder::new(selection, target, encoding.len());
     for (task, change) in changes {
         builder.add_change(*task, change);
     }
-    builder
-        .is_changed
-        .then(|| builder.finish(selection, target, encoding))
+    BuiltPage {
+        is_complete: builder.is_complete,
+        write: builder
+            .is_changed
+            .then(|| builder.finish(selection, target, encoding)),
+    }
 }
 
 /// Applies changes to a page one by one.
@@ -277,7 +286,6 @@
             machines: self.machines,
             charge,
             is_gang: target.job.record.spec.is_gang(),
-            is_complete: self.is_complete,
         }
     }
 }
--- a/src/jobs/writer/selection.rs
+++ b/src/jobs/writer/selection.rs
@@ -6,9 +6,18 @@
 use crate::jobs::{PageId, TaskRecord};
 use crate::membership::assignment::Member;
 use crate::node::Core;
-use std::collections::BTreeMap;
+use crate::state::MAX_BODY_BYTES;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+/// The pages to write now.
+pub(super) struct SelectedWrites {
+    /// The page writes, in the order of writing.
+    pub writes: Vec<PendingPageWrite>,
+    /// Gangs whose starts, as planned, exceed the limits of one transaction.
+    pub oversized_gangs: Vec<String>,
+}
+
 /// The input for the selection of pages.
 pub(super) struct Selection<'a> {
     pub core: &'a Core,
@@ -16,18 +25,23 @@
     pub me: &'a Member,
     /// Maximum number of preconditions in a transaction.
     pub max_preconditions: usize,
+    /// Maximum number of operations in a transaction.
+    pub max_operations: usize,
     /// Whether nearly all of the write quota is unused.
     pub has_ample_quota: bool,
     pub now: Instant,
 }
 
-/// The pages to write now, in the order of writing.
-pub(super) fn select_page_writes(selection: &Selection) -> Vec<PendingPageWrite> {
+/// Selects the pages to write now.
+pub(super) fn select_page_writes(selection: &Selection) -> SelectedWrites {
     let core = selection.core;
-    let mut writes = Vec::new();
+    let mut selected = SelectedWrites {
+        writes: Vec::new(),
+        oversized_gangs: Vec::new(),
+    };
     for (id, changes) in core.pending_changes.iter() {
         if core.pending_changes.is_writable(id, selection.now) {
-            select_of_job(selection, id, changes, &mut writes);
+            select_of_job(selection, id, changes, &mut selected);
         }
     }
     // Starts come before exits, since a task waits for each start and usually nothing waits for the record of an
@@ -41,15 +55,17 @@
             0
         }
     };
-    writes.sort_by_key(|write| (!write.is_overdue, !write.has_starts(), rank(write)));
-    writes
+    selected
+        .writes
+        .sort_by_key(|write| (!write.is_overdue, !write.has_starts(), rank(write)));
+    selected
 }
 
 fn select_of_job(
     selection: &Selection,
     id: &str,
     changes: &JobChanges,
-    writes: &mut Vec<PendingPageWrite>,
+    selected: &mut SelectedWrites,
 ) {
     let core = selection.core;
     let Some(job) = core.replica.jobs.get(id) else {
@@ -58,25 +74,47 @@
     let delay = FlushDelay::of_job(&core.replica, selection.me, job, changes);
     let waited = core.pending_changes.time_waited(id, selection.now);
     let writes_exits = delay.has_elapsed(waited, selection.has_ample_quota);
-    let first_of_job = writes.len();
+    let mut writes = Vec::new();
     let mut is_complete = true;
     for (page, changes) in changes_by_page(core, changes) {
         let target = PageTarget { id, job, page };
-        let Some(mut write) = build_page_write(selection, &target, &changes) else {
+        let built = build_page_write(selection, &target, &changes);
+        is_complete &= built.is_complete;
+        let Some(mut write) = built.write else {
             continue;
         };
         write.is_overdue = !write.has_starts() && delay.is_overdue(waited);
-        is_complete &= write.is_complete;
         if write.has_starts() || writes_exits {
             writes.push(write);
         }
     }
-    // Either all starts of a gang are written or none.
-    if !is_complete && job.record.spec.is_gang() {
-        writes.truncate(first_of_job);
+    // Either all starts of a gang are written or none. Exits that do not fit now are written later.
+    let is_starting_gang = job.record.spec.is_gang() && has_starts(changes);
+    if is_starting_gang && !(is_complete && fits_one_transaction(selection, &writes)) {
+        selected.oversized_gangs.push(id.to_owned());
+    } else {
+        selected.writes.append(&mut writes);
     }
 }
 
+fn has_starts(changes: &JobChanges) -> bool {
+    let mut changes = changes.values();
+    changes.any(|change| matches!(change, TaskRecord::Placed { .. }))
+}
+
+/// Whether the starts among a gang's page writes are within the limits of one transaction.
+fn fits_one_transaction(selection: &Selection, writes: &[PendingPageWrite]) -> bool {
+    let starting = writes.iter().filter(|write| write.has_starts());
+    let bytes: usize = starting.clone().map(|write| write.operation.bytes()).sum();
+    let preconditions = starting.clone().flat_map(|write| &write.preconditions);
+    let keys: BTreeSet<&String> = preconditions
+        .map(|precondition| &precondition.key)
+        .collect();
+    starting.count() <= selection.max_operations
+        && bytes <= MAX_BODY_BYTES
+        && keys.len() <= selection.max_preconditions
+}
+
 fn changes_by_page<'a>(
     core: &Core,
     changes: &'a JobChanges,
--- a/src/jobs/writer/tests.rs
+++ b/src/jobs/writer/tests.rs
@@ -33,13 +33,15 @@
     quota: Quota,
     now: Instant,
 ) -> Vec<PendingPageWrite> {
-    select_page_writes(&Selection {
+    let selection = Selection {
         core,
         me,
         max_preconditions,
+        max_operations: max_preconditions / 4,
         has_ample_quota: quota == Quota::Ample,
         now,
-    })
+    };
+    select_page_writes(&selection).writes
 }
 
 fn trace_of_writes(core: &Core) -> String {
@@ -426,6 +428,48 @@
     "#);
 }
 
+/// Guards against a gang whose starts exceed one transaction and stay pending: they occupied their machines for good,
+/// and other work never got these.
+#[test]
+fn a_gang_that_exceeds_one_transaction_is_held_back_and_leaves_its_machines() {
+    let (me, mut core) = core_with_a_job();
+    let mut gang: Value = serde_json::to_value(&core.replica.jobs["job-1"].record).unwrap();
+    gang["spec"]["nameId"] = json!("job-2");
+    gang["spec"]["shape"] = json!("group");
+    gang["spec"]["sacks"] = json!(17);
+    put(&mut core, "r/j/job-2", gang, 9);
+    core.update_ownership(&me, Instant::now());
+    for task in 0..17 {
+        let start = TaskRecord::Placed {
+            attempt: 1,
+            machine: "vm-1".into(),
+            incarnation: 1,
+        };
+        core.record_change(&TaskId::new("job-2", task), start);
+    }
+    let now = Instant::now();
+    let oversized = |core: &Core, max_operations| {
+        let selection = Selection {
+            core,
+            me: &me,
+            max_preconditions: 96,
+            max_operations,
+            has_ample_quota: true,
+            now,
+        };
+        let selected = select_page_writes(&selection);
+        (selected.writes.len(), selected.oversized_gangs)
+    };
+    // The gang's 17 tasks take three pages of eight.
+    assert_eq!(oversized(&core, 3), (3, Vec::new()));
+    assert_eq!(oversized(&core, 2), (0, vec!["job-2".to_owned()]));
+    hold_back_gang(&mut core, "job-2", now);
+    assert_eq!(core.pending_changes.starts_on("vm-1").count(), 0);
+    assert!(!core.pending_changes.is_writable("job-2", now));
+    let later = now + Duration::from_secs(90);
+    assert!(core.pending_changes.is_writable("job-2", later));
+}
+
 /// Guards against a deleted record that reappears: the response to a write arrived after the watch had delivered the
 /// deletion of the same record. Applying it restored the record, and nothing would have deleted it again.
 #[test]
--- a/src/membership/load.rs
+++ b/src/membership/load.rs
@@ -5,6 +5,7 @@
 use super::machine_assignment::{DemandByMember, MachineDemand};
 use crate::fleet::MachineState;
 use crate::jobs::JobRecord;
+use crate::jobs::gang_size::exceeds_one_transaction;
 use crate::node::{Core, Node, age_s, wall_ms};
 use crate::placement::capacity_of;
 use crate::placement::due_times::{earliest_due_time, effective_urgency};
@@ -71,6 +72,9 @@
         let now_ms = wall_ms();
         for job in core.replica.jobs.values().filter(|j| !j.record.cancelled) {
             let spec = &job.record.spec;
+            if exceeds_one_transaction(&core.replica, &node.settings, spec) {
+                continue; // Machines are of no use to it.
+            }
             let tasks_left = spec.tasks - job.done.min(spec.tasks);
             let age = age_s(job.record.eligible_since_ms(), now_ms);
             let Some(load) = job_load(node, core, &job.record, tasks_left, age) else {
--- a/src/placement/snapshot.rs
+++ b/src/placement/snapshot.rs
@@ -8,6 +8,7 @@
 use super::team_usage::{add_quota_headroom, team_usage, teams_within_guarantee};
 use super::{JobSnapshot, MachineSnapshot, Milestone, PoolId, capacity_of};
 use crate::cells::protection::{exclusion_of, protected_pools};
+use crate::jobs::gang_size::exceeds_one_transaction;
 use crate::jobs::{JobRecord, JobSpec, Shape};
 use crate::node::{Core, Node, age_s};
 use std::collections::{BTreeSet, HashMap};
@@ -144,13 +145,19 @@
 
 impl JobSnapshotBuilder<'_> {
     /// The snapshot of a job that may start tasks now. `None` if no task waits, no machine type is eligible,
-    /// the retry delay after failures is not over, the team is no longer in the settings, or tasks of the
-    /// gang's previous attempt are still on machines.
+    /// the retry delay after failures is not over, the team is no longer in the settings, tasks of the
+    /// gang's previous attempt are still on machines, or its starts cannot be written, for now or at all.
+    /// What is planned for such a job would hold capacity without starting anything.
     fn waiting_job(&self, id: &str, progress: &JobProgress) -> Option<WaitingJob> {
         if progress.waiting.is_empty() || progress.cheapest_machine_type.is_empty() {
             return None;
         }
         let record = &self.core.replica.jobs.get(id)?.record;
+        let replica = &self.core.replica;
+        let is_oversized = exceeds_one_transaction(replica, &self.node.settings, &record.spec);
+        if is_oversized || !self.core.pending_changes.is_writable(id, self.now) {
+            return None;
+        }
         let failures = self.core.failures.get(id);
         let retry_at = failures.and_then(|f| f.not_before());
         if retry_at.is_some_and(|at| self.now < at) {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -12,6 +12,9 @@
 pub use replica::Replica;
 pub use rowanmill_state::{Operation, Precondition, StateClient, TransactionError};
 
+/// Maximum size of a request's body.
+pub const MAX_BODY_BYTES: usize = 64 << 10;
+
 /// Maximum size of a transaction's operations. The service accepts 64 KiB in total, which includes the
 /// preconditions.
 pub const MAX_TRANSACTION_BYTES: usize = 44 << 10;
--- a/src/testing/tests.rs
+++ b/src/testing/tests.rs
@@ -200,6 +200,33 @@
     );
 }
 
+/// Guards against gangs whose starts exceed one transaction, by the number of their tasks alone or only with the records
+/// of their machines: they silenced every controller, and what was planned for them kept others' work from capacity. They
+/// are accepted and stay known, nothing of them is started, and an array beside them runs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_array_runs_beside_gangs_that_exceed_one_transaction() {
+    let cluster = TestCluster::new(1, Duration::from_millis(500)).await;
+    let _controller = cluster.start(0).await;
+    let gang_sizes = [100_000, 4_000, 100_000, 4_000];
+    let gangs = ["job-1", "job-2", "job-3", "job-4"];
+    for (id, tasks) in gangs.into_iter().zip(gang_sizes) {
+        let mut gang = job(id, tasks, 1.0 / f64::from(tasks));
+        gang["shape"] = json!("group");
+        gang["memGb"] = json!(1.0 / f64::from(tasks));
+        gang["dueS"] = Value::Null;
+        cluster.submit(0, &gang).await;
+    }
+    cluster.submit(0, &job("job-5", 6, 1.0)).await;
+    let done = async || cluster.stage(0, "job-5").await == "done";
+    until("the array beside the gangs is done", done).await;
+    for id in gangs {
+        assert_eq!(cluster.stage(0, id).await, "queued");
+    }
+    let world = cluster.cloud.world.lock().unwrap();
+    assert_eq!(world.broken_rules, Vec::<String>::new());
+    assert_eq!(world.starts, 6, "only the array's tasks start");
+}
+
 /// Once the state service has been out for a few seconds, a controller refuses submissions at once. It stays healthy
 /// and keeps the final states of jobs. Requests that can never succeed get a 4xx status.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
