Hold back a refused gang that has several pages

Cause: `apply_malformed` took any batch of several pages for several groups and had each sent singly; the pages of a gang are one group, so the same transaction was sent again until the write quota was used up, in every cycle.

Change: a batch that is one atomic group is held back, whatever its pages.

Evidence: `a_refused_gang_on_several_pages_is_held_back` fails with the former condition and passes with the new one.

--- a/src/jobs/writer/outcome.rs
+++ b/src/jobs/writer/outcome.rs
@@ -1,6 +1,6 @@
 //! Applies the outcome of a transaction to this controller's state in memory.
 
-use super::batch::WriteBatch;
+use super::batch::{WriteBatch, atomic_group_len};
 use super::discard::{discard_all_starts, discard_conflicting_starts};
 use super::page_write::PendingPageWrite;
 use crate::membership::assignment::Member;
@@ -8,7 +8,7 @@
 use crate::state::TransactionError;
 use std::time::{Duration, Instant};
 
-/// How long a job's pages are not written after the state service has refused one of them as malformed.
+/// How long a job's pages are not written after the state service has refused them as malformed.
 const MALFORMED_PAGE_RETRY_DELAY: Duration = Duration::from_secs(30);
 
 /// The outcome of a transaction, which decides how the rest of the queue is written.
@@ -17,7 +17,7 @@
     Written,
     /// A record has changed in the meantime. The starts that depend on it are discarded.
     Conflict,
-    /// The only page of the batch is malformed, and its job is held back.
+    /// The only atomic group of the batch is malformed or too large, and its job is held back.
     HeldBack,
     /// At least one of these writes is malformed.
     RetryEachGroup(Vec<PendingPageWrite>),
@@ -75,7 +75,7 @@
 }
 
 fn apply_malformed(core: &mut Core, writes: Vec<PendingPageWrite>) -> BatchOutcome {
-    if writes.len() > 1 {
+    if atomic_group_len(&writes) < writes.len() {
         return BatchOutcome::RetryEachGroup(writes);
     }
     discard_all_starts(core, &writes);
--- a/src/jobs/writer/tests.rs
+++ b/src/jobs/writer/tests.rs
@@ -1,10 +1,10 @@
-use super::batch::atomic_group_len;
+use super::batch::{BatchSize, atomic_group_len};
 use super::flush_delay::OWN_JOB_DELAY;
 use super::*;
 use crate::jobs::garbage_collection::GarbageBatch;
 use crate::jobs::{PageLayout, TaskId, TaskRecord, TerminalState};
 use crate::membership::assignment::Member;
-use crate::state::{MAX_TRANSACTION_BYTES, Operation, Precondition, RecordKey};
+use crate::state::{MAX_TRANSACTION_BYTES, Operation, Precondition, RecordKey, TransactionError};
 use rowanmill_state::KeyValue;
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
@@ -428,25 +428,28 @@
     "#);
 }
 
+/// Guards against a gang that is written again and again: the state service refused its transaction, which held several
+/// pages and nothing else, and it was sent once more at once, until the write quota was used up, in every cycle.
+#[test]
+fn a_refused_gang_on_several_pages_is_held_back() {
+    let (me, mut core) = core_with_a_starting_gang(17);
+    let now = Instant::now();
+    let mut queue = page_writes(&core, &me, 96, Quota::Ample, now);
+    assert_eq!(queue.len(), 3);
+    let limits = BatchLimits::new(24, 24, BatchSize::Largest);
+    let batch = WriteBatch::take_from(&mut queue, &limits);
+    let refused = Err(TransactionError::Malformed);
+    let outcome = apply_outcome(&mut core, &me, batch, refused);
+    assert!(matches!(outcome, BatchOutcome::HeldBack));
+    assert_eq!(core.pending_changes.starts_on("vm-1").count(), 0);
+    assert!(!core.pending_changes.is_writable("job-2", now));
+}
+
 /// Guards against a gang whose starts exceed one transaction and stay pending: they occupied their machines for good,
 /// and other work never got these.
 #[test]
 fn a_gang_that_exceeds_one_transaction_is_held_back_and_leaves_its_machines() {
-    let (me, mut core) = core_with_a_job();
-    let mut gang: Value = serde_json::to_value(&core.replica.jobs["job-1"].record).unwrap();
-    gang["spec"]["nameId"] = json!("job-2");
-    gang["spec"]["shape"] = json!("group");
-    gang["spec"]["sacks"] = json!(17);
-    put(&mut core, "r/j/job-2", gang, 9);
-    core.update_ownership(&me, Instant::now());
-    for task in 0..17 {
-        let start = TaskRecord::Placed {
-            attempt: 1,
-            machine: "vm-1".into(),
-            incarnation: 1,
-        };
-        core.record_change(&TaskId::new("job-2", task), start);
-    }
+    let (me, mut core) = core_with_a_starting_gang(17);
     let now = Instant::now();
     let oversized = |core: &Core, max_operations| {
         let selection = Selection {
@@ -492,6 +495,26 @@
     assert!(core.replica.fleet.rentals.contains_key("r-3"));
 }
 
+/// The same, with the gang job-2 whose tasks all have a pending start on vm-1.
+fn core_with_a_starting_gang(tasks: u32) -> (Member, Core) {
+    let (me, mut core) = core_with_a_job();
+    let mut gang: Value = serde_json::to_value(&core.replica.jobs["job-1"].record).unwrap();
+    gang["spec"]["nameId"] = json!("job-2");
+    gang["spec"]["shape"] = json!("group");
+    gang["spec"]["sacks"] = json!(tasks);
+    put(&mut core, "r/j/job-2", gang, 9);
+    core.update_ownership(&me, Instant::now());
+    for task in 0..tasks {
+        let start = TaskRecord::Placed {
+            attempt: 1,
+            machine: "vm-1".into(),
+            incarnation: 1,
+        };
+        core.record_change(&TaskId::new("job-2", task), start);
+    }
+    (me, core)
+}
+
 /// This controller and its state: a job with a task on machine vm-1, which this controller owns.
 fn core_with_a_job() -> (Member, Core) {
     let mut core = Core::new(crate::jobs::pages::tests::plain_layout(8), Instant::now());
