Make forecasts in turns, without the state's lock

Users saw: nothing yet at these sizes.

Cause: the forecast was made with the state locked, in one piece.

Processor time is charged poll by poll. `placing_ms` and `longest_ms` still count the whole of planning; the pause after a cycle counts what held the lock, as its comment says.

--- a/src/metrics/processor_time.rs
+++ b/src/metrics/processor_time.rs
@@ -2,6 +2,8 @@
 //! here.
 
 use rustix::time::{ClockId, clock_gettime};
+use std::future::poll_fn;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -70,6 +72,17 @@
         }
     }
 
+    /// Runs a future and charges the time of each of its polls to an account, but not the time in between, in which
+    /// other tasks run.
+    pub async fn charge_future<F: Future>(&self, account: CpuAccount, future: F) -> F::Output {
+        let mut future = pin!(future);
+        poll_fn(|context| {
+            let _charge = self.charge(account);
+            future.as_mut().poll(context)
+        })
+        .await
+    }
+
     /// The processor time charged to each account so far, in the order of [`CpuAccount::ALL`].
     pub fn totals(&self) -> [Duration; CpuAccount::ALL.len()] {
         std::array::from_fn(|account| {
--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -3,14 +3,18 @@
 //! period. It starts no tasks.
 
 mod beyond_headroom;
+mod run;
 
 pub use beyond_headroom::BeyondHeadroom;
+#[cfg(test)]
+pub use run::forecast;
+pub use run::forecast_in_turns;
 
 use super::gang::gang_slots;
 use super::index::{MachineIndex, StartTimesId, TaskTimes};
 use super::queue::Queues;
 use super::quota_headroom::QuotaHeadroom;
-use super::{END_TOLERANCE, JobSnapshot, MachineSnapshot, ROUNDING_TOLERANCE, TasksByZone};
+use super::{END_TOLERANCE, JobSnapshot, ROUNDING_TOLERANCE, TasksByZone};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashSet};
 use std::sync::Arc;
@@ -148,52 +152,8 @@
     last_gang_lateness: Lateness,
     /// By job: its tasks that use a limited team's headroom.
     limited_tasks: BTreeMap<usize, Vec<LimitedTasks>>,
-}
-
-/// Makes the forecast of all waiting tasks. The first `startup_count` tasks of each job that is not a
-/// gang are startup tasks.
-pub fn forecast(
-    jobs: &[JobSnapshot],
-    machines: &[MachineSnapshot],
-    headroom: &QuotaHeadroom,
+    queues: Queues,
     startup_count: u32,
-) -> Forecast {
-    let mut machines = machines.to_vec();
-    let mut forecaster = Forecaster {
-        jobs,
-        progress: jobs.iter().map(JobProgress::new).collect(),
-        headroom: headroom.clone(),
-        machines: MachineIndex::new(&mut machines),
-        forecast: Forecast {
-            jobs: vec![JobForecast::default(); jobs.len()],
-            beyond_headroom: vec![BeyondHeadroom::default(); jobs.len()],
-            ..Forecast::default()
-        },
-        gangs_placed: 0,
-        last_gang_lateness: Lateness::ON_TIME,
-        limited_tasks: BTreeMap::new(),
-    };
-    let mut queues = Queues::new(jobs);
-    loop {
-        queues.skip_batch_while(|job| forecaster.remaining(job) == 0);
-        queues.skip_startup_while(|job| !forecaster.has_startup_task(job, startup_count));
-        let Some(head) = queues.batch_head() else {
-            break;
-        };
-        if jobs[head].gang {
-            forecaster.place_gang(head);
-        } else if let Some(first) = queues.startup_head().filter(|first| *first != head)
-            && let Some(placement) = forecaster.best_placement(first)
-            && forecaster.startup_may_pass(first, &placement, head)
-        {
-            forecaster.place(first, &placement, 1);
-        } else {
-            forecaster.place_array(head);
-        }
-    }
-    forecaster.assign_beyond_headroom(headroom);
-    forecaster.forecast.slots_examined = forecaster.machines.slots_examined();
-    forecaster.forecast
 }
 
 impl Forecaster<'_> {
@@ -205,9 +165,9 @@
     }
 
     /// Whether a startup task of the job is not assigned yet.
-    fn has_startup_task(&self, job: usize, startup_count: u32) -> bool {
+    fn has_startup_task(&self, job: usize) -> bool {
         self.remaining(job) > 0
-            && self.progress[job].started < startup_count
+            && self.progress[job].started < self.startup_count
             && !self.jobs[job].gang
     }
 
--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -44,6 +44,7 @@
 }
 
 /// Both queues as job indices, each with the position of its head.
+#[derive(Default)]
 pub(super) struct Queues {
     batch: Vec<usize>,
     batch_head: usize,
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -18,6 +18,7 @@
 use crate::metrics::{self, CpuAccount, CyclePhase, Metrics};
 use crate::node::{Core, Node, wall_ms};
 use crate::renting;
+use crate::renting::forecast::DueForecast;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -66,36 +67,72 @@
         limits::allocate_limits(node, revision).await;
     }
     let started_at = Instant::now();
-    if !plan_changes(node, started_at) {
+    let Some(planning_time) = plan(node).await else {
         return Duration::ZERO;
-    }
-    let planning_time = started_at.elapsed();
-    record_cycle_metrics(&mut node.core().metrics, planning_time);
+    };
+    record_cycle_metrics(&mut node.core().metrics, started_at.elapsed());
     let _timer = node.phase_times.start(CyclePhase::Writing);
-    limits::change_own_allocations(node, started_at).await;
+    limits::change_own_allocations(node, Instant::now()).await;
     writer::write(node, leader_revision.is_some()).await;
     planning_time
 }
 
-fn record_cycle_metrics(metrics: &mut Metrics, planning_time: Duration) {
+/// What planning under the lock came to.
+enum CyclePlan {
+    /// The machine types are not known yet.
+    NotReady,
+    /// A forecast is to be made first.
+    ForecastDue(Box<DueForecast>),
+    /// The changes are planned.
+    Planned,
+}
+
+/// Makes the forecast of deadline misses if it is due, and plans the changes to record next. Returns how long the lock
+/// was held; `None` if nothing could be planned.
+async fn plan(node: &Node) -> Option<Duration> {
+    let started_at = Instant::now();
+    let plan = plan_changes(node, started_at, Forecasts::IfDue);
+    let mut held = started_at.elapsed();
+    let plan = if let CyclePlan::ForecastDue(forecast) = plan {
+        let timer = node.phase_times.start(CyclePhase::Forecast);
+        forecast.make(node).await;
+        drop(timer);
+        // Other tasks of the controller may have changed its state meanwhile, so that a new snapshot is needed.
+        let resumed_at = Instant::now();
+        let plan = plan_changes(node, resumed_at, Forecasts::Made);
+        held += resumed_at.elapsed();
+        plan
+    } else {
+        plan
+    };
+    matches!(plan, CyclePlan::Planned).then_some(held)
+}
+
+/// Whether a cycle still has to make the forecast that is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Forecasts {
+    IfDue,
+    Made,
+}
+
+fn record_cycle_metrics(metrics: &mut Metrics, cycle_time: Duration) {
     metrics.scheduling_cycles += 1;
-    metrics.scheduling_time += planning_time;
-    metrics.longest_cycle = metrics.longest_cycle.max(planning_time);
+    metrics.scheduling_time += cycle_time;
+    metrics.longest_cycle = metrics.longest_cycle.max(cycle_time);
 }
 
 /// Plans the changes to record next: starts, evictions, and tasks that wait again since their machines are
-/// gone. Returns false, without a plan, until the machine types are known.
-fn plan_changes(node: &Node, now: Instant) -> bool {
+/// gone. Plans nothing yet if a forecast is due before.
+fn plan_changes(node: &Node, now: Instant, forecasts: Forecasts) -> CyclePlan {
     let now_ms = wall_ms();
     let mut core = node.core();
     let Some(mut snapshot) = refreshed_snapshot(node, &mut core, now, now_ms) else {
-        return false;
+        return CyclePlan::NotReady;
     };
-    // The first forecast is made as soon as there is a job or a machine; its period counts from then on.
-    if !core.replica.jobs.is_empty() || !core.replica.fleet.machines.is_empty() {
+    if forecasts == Forecasts::IfDue && renting::forecast::is_due(node, &core, &snapshot, now) {
         let _charge = node.processor_time.charge(CpuAccount::Forecast);
-        let _timer = node.phase_times.start(CyclePhase::Forecast);
-        renting::forecast::update_forecast(node, &mut core, &snapshot, now, now_ms);
+        let forecast = DueForecast::new(&mut core, snapshot, now, now_ms);
+        return CyclePlan::ForecastDue(Box::new(forecast));
     }
     if !snapshot.jobs.is_empty() {
         let unplaced = starts::plan_starts(node, &mut core, &mut snapshot);
@@ -107,7 +144,7 @@
     let _timer = node.phase_times.start(CyclePhase::Eviction);
     evictions::evict_broken_gangs(&mut core);
     evictions::evict_before_cloud_preemption(node, &mut core, now);
-    true
+    CyclePlan::Planned
 }
 
 /// Brings the snapshot cache up to date and builds a snapshot; `None` until the machine types are known.
@@ -130,5 +167,6 @@
     Some(snapshot::build(node, core, now, now_ms))
 }
 
+
 #[cfg(test)]
 mod tests;
--- a/src/renting/forecast.rs
+++ b/src/renting/forecast.rs
@@ -11,9 +11,10 @@
 use super::write_rate::adjust_write_rate;
 use crate::fleet::MachineState;
 use crate::limits::MAX_PUBLISHED_GANG_BYTES;
+use crate::metrics::CpuAccount;
 use crate::node::{Core, Node, age_s};
 use crate::placement::batch_order;
-use crate::placement::forecast::{Forecast, forecast};
+use crate::placement::forecast::{Forecast, forecast_in_turns};
 use crate::placement::quota_headroom::QuotaHeadroom;
 use crate::placement::snapshot::{ClusterSnapshot, eligible_machine_types};
 use std::collections::BTreeMap;
@@ -28,28 +29,68 @@
 /// one from the length and divides the rest, so a smaller growth has little or no effect on it.
 const MIN_QUEUE_GROWTH: u32 = 2;
 
-/// Computes the forecast to publish, once per period, and earlier if the published one is stale.
-pub fn update_forecast(
-    node: &Node,
-    core: &mut Core,
-    snapshot: &ClusterSnapshot,
+/// A forecast that is due, with its input.
+pub struct DueForecast {
+    snapshot: ClusterSnapshot,
+    /// What limited teams may still start, including what their running tasks will release.
+    headroom: QuotaHeadroom,
+    /// Whether the period is over. Otherwise the published forecast is stale.
+    is_periodic: bool,
     now: Instant,
     now_ms: u64,
-) {
-    let startup_count = node.policy.startup_count;
-    let is_due = now >= core.scaling.next_forecast;
-    if !is_due && !forecast_is_stale(core, snapshot, startup_count, now) {
-        return;
+}
+
+/// Whether a forecast is to be made: one per period, and an earlier one if the published one is stale. The first one is
+/// made as soon as there is a job or a machine; its period counts from then on.
+pub fn is_due(node: &Node, core: &Core, snapshot: &ClusterSnapshot, now: Instant) -> bool {
+    let is_idle = core.replica.jobs.is_empty() && core.replica.fleet.machines.is_empty();
+    let is_due = || {
+        now >= core.scaling.next_forecast
+            || forecast_is_stale(core, snapshot, node.policy.startup_count, now)
+    };
+    !is_idle && is_due()
+}
+
+impl DueForecast {
+    /// The forecast to make of a snapshot taken `now`.
+    pub fn new(core: &mut Core, snapshot: ClusterSnapshot, now: Instant, now_ms: u64) -> Self {
+        Self {
+            headroom: headroom_with_releases(core, &snapshot, now),
+            is_periodic: now >= core.scaling.next_forecast,
+            snapshot,
+            now,
+            now_ms,
+        }
+    }
+
+    /// Makes the forecast, without the state's lock and in turns with the controller's other tasks. What they change
+    /// meanwhile is in the next forecast.
+    pub async fn make(self, node: &Node) {
+        let snapshot = &self.snapshot;
+        let placement = forecast_in_turns(
+            &snapshot.jobs,
+            &snapshot.machines,
+            &self.headroom,
+            node.policy.startup_count,
+        );
+        let placement = node
+            .processor_time
+            .charge_future(CpuAccount::Forecast, placement)
+            .await;
+        let _charge = node.processor_time.charge(CpuAccount::Forecast);
+        self.record(node, &mut node.core(), &placement);
     }
-    let headroom = headroom_with_releases(core, snapshot, now);
-    let placement = forecast(&snapshot.jobs, &snapshot.machines, &headroom, startup_count);
-    core.metrics.machines_examined += placement.machines_examined;
-    core.metrics.slots_examined += placement.slots_examined;
-    let record = summarize(node, core, snapshot, &placement, now_ms);
-    if is_due {
-        begin_period(node, core, now, now_ms);
+
+    /// Records the forecast as the one to publish.
+    fn record(&self, node: &Node, core: &mut Core, placement: &Forecast) {
+        core.metrics.machines_examined += placement.machines_examined;
+        core.metrics.slots_examined += placement.slots_examined;
+        let record = summarize(node, core, &self.snapshot, placement, self.now_ms);
+        if self.is_periodic {
+            begin_period(node, core, self.now, self.now_ms);
+        }
+        core.scaling.pending_forecast = Some(record);
     }
-    core.scaling.pending_forecast = Some(record);
 }
 
 /// The headroom of limited teams, including what their running tasks will release.
