--- a/src/placement/growth_tests.rs
+++ b/src/placement/growth_tests.rs
@@ -67,3 +67,35 @@
         }
     }
 }
+
+/// Measures how long a forecast and a packing of many jobs take; checks nothing. Run it in a release build:
+/// `cargo test --release -- --ignored --nocapture time_placement_by_jobs`.
+#[test]
+#[ignore = "a measurement"]
+fn time_placement_by_jobs() {
+    for is_gang in [true, false] {
+        for count in [40, 400, 4_000] {
+            for jobs in [100, 1_000] {
+                let machines = empty_machines(count);
+                let with_index = |index: usize| JobSnapshot {
+                    id: format!("job-{index:06}"),
+                    index,
+                    ..one_cpu_job(100, is_gang)
+                };
+                let jobs: Vec<JobSnapshot> = (0..jobs).map(with_index).collect();
+                let started_at = Instant::now();
+                let predicted = forecast(&jobs, &machines, &QuotaHeadroom::default(), 2);
+                let forecast_time = started_at.elapsed();
+                let started_at = Instant::now();
+                let placed = pack(&jobs, &mut machines.clone(), unlimited(), 2, 400);
+                println!(
+                    "gang {is_gang}, machines {count}, jobs {}: forecast {forecast_time:?}, packing {:?}, machines {} and {}",
+                    jobs.len(),
+                    started_at.elapsed(),
+                    predicted.machines_examined,
+                    placed.machines_examined
+                );
+            }
+        }
+    }
+}
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -167,6 +167,7 @@
     Some(snapshot::build(node, core, now, now_ms))
 }
 
-
+#[cfg(test)]
+mod growth_tests;
 #[cfg(test)]
 mod tests;
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -10,6 +10,8 @@
 pub mod wire;
 
 pub use agent::{AgentStatus, TaskAttempt};
+#[cfg(test)]
+pub use ingest::ingest_heartbeat;
 pub use reconcile::PendingStops;
 pub use wire::{Heartbeat, TaskState};
 
